--- a/src/bin/meadowshore-wirehost/codec.rs
+++ b/src/bin/dahliatrack-wirehost/codec.rs
@@ -1,7 +1,7 @@
 //! The binary frames of the wire: batches of events in, replies with actions out.
 
 use crate::settings::micros;
-use meadowshore::*;
+use dahliatrack::*;
 
 /// The bytes of a batch header.
 pub const BATCH_HEADER: usize = 16;
--- a/src/bin/meadowshore-wirehost/main.rs
+++ b/src/bin/dahliatrack-wirehost/main.rs
@@ -5,7 +5,7 @@
 mod settings;
 
 use codec::{Incoming, Reply, BATCH_HEADER};
-use meadowshore::{Action, Micros, Router};
+use dahliatrack::{Action, Micros, Router};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -16,7 +16,7 @@
     match serve(&mut BufReader::with_capacity(1 << 16, io::stdin().lock()), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("meadowshore-wirehost: {message}");
+            eprintln!("dahliatrack-wirehost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/meadowshore-wirehost/settings.rs
+++ b/src/bin/dahliatrack-wirehost/settings.rs
@@ -1,6 +1,6 @@
 //! The settings message: JSON in the wire's words, turned into [`Settings`].
 
-use meadowshore::*;
+use dahliatrack::*;
 use serde::Deserialize;
 
 #[derive(Deserialize)]
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -1,6 +1,6 @@
 //! The decision module by its public interface, without the bench.
 
-use meadowshore::*;
+use dahliatrack::*;
 
 const MS: Micros = 1000;
 const SECOND: Micros = 1000 * MS;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -18,7 +18,7 @@
   "warm_after": 18000.0}}"#;
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_meadowshore-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_dahliatrack-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
