--- a/src/bin/dahliatrack-wirehost/codec.rs
+++ b/src/bin/dahliatrack-wirehost/codec.rs
@@ -1,6 +1,6 @@
 //! The binary frames of the wire: batches of events in, replies with actions out.
 
-use crate::settings::micros;
+use dahliatrack::config::settings::micros;
 use dahliatrack::*;
 
 /// The bytes of a batch header.
--- a/src/bin/dahliatrack-wirehost/main.rs
+++ b/src/bin/dahliatrack-wirehost/main.rs
@@ -2,9 +2,9 @@
 //! output. It decides nothing itself.
 
 mod codec;
-mod settings;
 
 use codec::{Incoming, Reply, BATCH_HEADER};
+use dahliatrack::config::settings;
 use dahliatrack::{Action, Micros, Router};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Read, Write};
@@ -64,7 +64,7 @@
     let mut actions: Vec<Action> = Vec::new();
     let ran = match incoming {
         Incoming::Born { seed, settings } => {
-            let settings = settings::parse(&settings)?;
+            let settings = settings::parse(&settings)?.settings;
             routers.insert(instance, Router::new(settings, seed, now).map_err(|e| format!("settings: {e}"))?);
             Ok(())
         }
--- /dev/null
+++ b/src/config/events.rs
@@ -0,0 +1,91 @@
+//! The numbered events of the control feed, as its answers and the configuration's `known` hold them.
+
+use serde::Deserialize;
+
+/// An answer of the control feed.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Batch {
+    /// The number of the last event.
+    pub n: u64,
+    /// The events.
+    pub events: Vec<Numbered>,
+}
+
+/// An event and its number; an event of an unknown kind has neither part and is passed over.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Numbered {
+    /// The number.
+    pub n: u64,
+    /// A change of the list.
+    #[serde(default)]
+    pub members: Option<Members>,
+    /// A purge.
+    #[serde(default)]
+    pub purge: Option<Purge>,
+}
+
+/// A change of the list of servers.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Members {
+    /// Whether this is the whole list.
+    #[serde(default)]
+    pub whole: bool,
+    /// The entries.
+    pub hosts: Vec<Host>,
+}
+
+/// A server of the list.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Host {
+    /// Its id.
+    pub host: String,
+    /// Its address.
+    #[serde(default)]
+    pub dial: Option<std::net::SocketAddr>,
+    /// Its zone.
+    #[serde(default)]
+    pub site: String,
+    /// Its kind of machine.
+    #[serde(default)]
+    pub class: String,
+    /// Its cell.
+    #[serde(default)]
+    pub block: u16,
+    /// Its state.
+    pub health: Health,
+    /// Its size.
+    #[serde(default = "one")]
+    pub share: f64,
+    /// The Unix millisecond of a late start, or 0.
+    #[serde(default)]
+    pub born_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// The state of a server of the list.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Health {
+    /// Takes work.
+    Up,
+    /// Finishes what it has.
+    Draining,
+    /// Gone.
+    Removed,
+}
+
+/// A purge: of an object, or of a group.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Purge {
+    /// The object, 16 hex digits.
+    #[serde(default)]
+    pub key: Option<String>,
+    /// The group.
+    #[serde(default)]
+    pub group: Option<u32>,
+    /// The Unix millisecond at which it was made.
+    pub at: f64,
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,118 @@
+//! What the edge proxy is told at its start: the platform's PROXY_CONFIG, and the settings in it.
+
+pub mod events;
+pub mod settings;
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Why a configuration cannot be used; its text is one plain line.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// A file cannot be read.
+    #[error("{path}: {error}")]
+    Read {
+        /// The file.
+        path: String,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// A file is not in its form.
+    #[error("{path}: {text}")]
+    Form {
+        /// The file.
+        path: String,
+        /// What is wrong, and where.
+        text: String,
+    },
+}
+
+impl ConfigError {
+    /// A file that is not in its form; the text is kept to one line.
+    pub fn form(path: &Path, text: impl ToString) -> Self {
+        let text = text.to_string().split_whitespace().collect::<Vec<_>>().join(" ");
+        ConfigError::Form { path: path.display().to_string(), text }
+    }
+}
+
+/// What the process may use.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct Wire {
+    name: String,
+    listen: SocketAddr,
+    seed: String,
+    limits: Limits,
+    feed: SocketAddr,
+    known: events::Batch,
+    settings: serde_json::Value,
+}
+
+/// PROXY_CONFIG, read and checked.
+#[derive(Debug)]
+pub struct Config {
+    /// The edge proxy's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// What the process may use.
+    pub limits: Limits,
+    /// Where the control feed listens.
+    pub feed: SocketAddr,
+    /// The control feed's events up to the start.
+    pub known: events::Batch,
+    /// The settings of the decision module, and the names that go with them.
+    pub settings: settings::Parsed,
+}
+
+impl Config {
+    /// Reads a configuration file.
+    ///
+    /// # Errors
+    ///
+    /// A file that cannot be read or used.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let text = read(path)?;
+        Self::parse(&text).map_err(|text| ConfigError::form(path, text))
+    }
+
+    /// Reads a configuration.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong, in one line.
+    pub fn parse(text: &[u8]) -> Result<Self, String> {
+        let mut json = serde_json::Deserializer::from_slice(text);
+        let wire: Wire = serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
+        json.end().map_err(|e| e.to_string())?;
+        let seed =
+            u64::from_str_radix(&wire.seed, 16).map_err(|_| format!("seed: {:?} is not hex", wire.seed))?;
+        let settings = settings::parse(wire.settings.to_string().as_bytes())?;
+        settings.settings.check().map_err(|e| format!("settings: {e}"))?;
+        if settings.names.classes.iter().any(String::is_empty) {
+            return Err("settings: a class has no name".into());
+        }
+        let Wire { name, listen, limits, feed, known, .. } = wire;
+        Ok(Config { name, listen, seed, limits, feed, known, settings })
+    }
+}
+
+/// Reads a file.
+///
+/// # Errors
+///
+/// A file that cannot be read.
+pub fn read(path: &Path) -> Result<Vec<u8>, ConfigError> {
+    let file = || path.display().to_string();
+    std::fs::read(path).map_err(|error| ConfigError::Read { path: file(), error })
+}
--- a/src/bin/dahliatrack-wirehost/settings.rs
+++ b/src/config/settings.rs
@@ -1,6 +1,6 @@
 //! The settings message: JSON in the wire's words, turned into [`Settings`].
 
-use dahliatrack::*;
+use crate::interface::*;
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -13,6 +13,48 @@
     my_zone: u16,
     ordinal: u32,
     rules: WireRules,
+    #[serde(default)]
+    skus: Vec<String>,
+    #[serde(default)]
+    failure_domains: Vec<String>,
+    #[serde(default)]
+    report: Report,
+}
+
+#[derive(Default, Deserialize)]
+struct Report {
+    #[serde(default)]
+    names: Vec<String>,
+}
+
+/// What a router program needs of the settings and the decision module does not.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// The names of the classes.
+    pub classes: Vec<String>,
+    /// The names of the kinds of machine.
+    pub kinds: Vec<String>,
+    /// The names of the zones.
+    pub zones: Vec<String>,
+    /// The names of the values in a load report.
+    pub report: Vec<String>,
+    /// Idle connections are closed by the servers after this.
+    pub conn_idle: Micros,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Micros,
+    /// Attempts that one connection carries.
+    pub streams_per_conn: usize,
+    /// Requests that may be open.
+    pub most_held: usize,
+}
+
+/// The settings message, read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Parsed {
+    /// For the decision module.
+    pub settings: Settings,
+    /// For the program around it.
+    pub names: Names,
 }
 
 #[derive(Deserialize)]
@@ -39,6 +81,8 @@
 
 #[derive(Deserialize)]
 struct Grade {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     aim_stretch: f64,
     deadline: f64,
@@ -58,6 +102,30 @@
     parallel_tries: bool,
     peer_messages: bool,
     retry_after: bool,
+    #[serde(default = "conn_idle")]
+    conn_idle: f64,
+    #[serde(default = "connect_timeout")]
+    connect_timeout: f64,
+    #[serde(default = "streams_per_conn")]
+    streams_per_conn: usize,
+    #[serde(default = "most_held")]
+    most_held: usize,
+}
+
+fn conn_idle() -> f64 {
+    15_000.0
+}
+
+fn connect_timeout() -> f64 {
+    400.0
+}
+
+fn streams_per_conn() -> usize {
+    100
+}
+
+fn most_held() -> usize {
+    20_000
 }
 
 #[derive(Deserialize)]
@@ -70,7 +138,11 @@
 }
 
 /// Reads the settings message.
-pub fn parse(text: &[u8]) -> Result<Settings, String> {
+///
+/// # Errors
+///
+/// What is wrong, in one line.
+pub fn parse(text: &[u8]) -> Result<Parsed, String> {
     let mut json = serde_json::Deserializer::from_slice(text);
     let wire: Wire = serde_path_to_error::deserialize(&mut json).map_err(|e| format!("settings: {e}"))?;
     json.end().map_err(|e| format!("settings: {e}"))?;
@@ -99,7 +171,17 @@
             never_kept: *domain.goes_through.get(i).ok_or_else(|| lacking("goes_through"))?,
         });
     }
-    Ok(Settings {
+    let names = Names {
+        classes: wire.grades.iter().map(|grade| grade.name.clone()).collect(),
+        kinds: wire.skus.clone(),
+        zones: wire.failure_domains.clone(),
+        report: wire.report.names.clone(),
+        conn_idle: micros(limits.conn_idle),
+        connect_timeout: micros(limits.connect_timeout),
+        streams_per_conn: limits.streams_per_conn.max(1),
+        most_held: limits.most_held,
+    };
+    let settings = Settings {
         routers: wire.balancers,
         ordinal: wire.ordinal,
         zone: ZoneId(wire.my_zone),
@@ -144,7 +226,8 @@
             purge_settles: micros(domain.purge_settles),
             ask_within: micros(rules.ask_within),
         },
-    })
+    };
+    Ok(Parsed { settings, names })
 }
 
 /// Milliseconds of the wire as microseconds.
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,558 @@
+//! Requests, attempts and outcomes, whatever wire they come by. The core feeds the decision module's
+//! [`Router`], carries out its actions, and sees to it that each request gets one final answer and each
+//! attempt one legal end. It reads no clock: the time is passed in.
+
+use crate::deadlines::{Handle, Schedule};
+use crate::interface::*;
+use crate::slots::{Key, Slots};
+use crate::{Router, SettingsError};
+use bytes::Bytes;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A request of the core's table.
+pub type RequestKey = Key;
+/// An attempt of the core's table.
+pub type AttemptKey = Key;
+
+/// What falls due for the core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// A timer of the decision module.
+    Timer(u32),
+    /// An attempt's time is over.
+    Attempt(AttemptKey),
+    /// The client stops waiting.
+    Patience(RequestKey),
+    /// The client's right to an answer ends, unless the answer has begun.
+    Expiry(RequestKey),
+}
+
+/// A request as a front hands it in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Its class.
+    pub class: ClassId,
+    /// The object.
+    pub object: ObjectId,
+    /// Which part of it.
+    pub part: u32,
+    /// The object's group.
+    pub group: GroupId,
+    /// How long the client waits from now.
+    pub patience: Micros,
+    /// From when on it may get no answer but 'denied', unless one has begun.
+    pub expires: Option<Micros>,
+}
+
+/// A copy of an object as a server gave it out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Copy {
+    /// The bytes; none where the client's copy is the one.
+    pub bytes: Bytes,
+    /// Its tag.
+    pub tag: String,
+    /// When the origin gave it out, in Unix milliseconds; 0: not told.
+    pub born: u64,
+    /// Whether the client's own copy is the one.
+    pub same: bool,
+}
+
+/// A request's one final answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// A copy is served.
+    Served(Copy),
+    /// Refused: trying again is harmless, after the pause.
+    Refused {
+        /// How long the client should stay away.
+        pause: Micros,
+        /// Whether its time was over.
+        late: bool,
+    },
+    /// Failed; promises nothing.
+    Failed {
+        /// Whether its time was over.
+        late: bool,
+    },
+    /// The client's right to an answer ended before the answer began.
+    Denied,
+}
+
+/// How an attempt ended, as the upstream side saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct End {
+    /// The ending.
+    pub result: AttemptResult,
+    /// How the answer came about.
+    pub note: Option<Note>,
+    /// How long the fill waited for its first byte.
+    pub waited: Micros,
+    /// The load report.
+    pub load: Vec<f32>,
+    /// The copy, with [`AttemptResult::Ok`].
+    pub copy: Copy,
+}
+
+impl End {
+    /// An ending about which nothing more is known.
+    pub fn bare(result: AttemptResult) -> Self {
+        End { result, note: None, waited: 0, load: Vec::new(), copy: Copy::default() }
+    }
+}
+
+/// An attempt as it is to be written now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// The request.
+    pub request: RequestKey,
+    /// The part of its object.
+    pub part: u32,
+    /// Who fills a miss; `None`: nobody.
+    pub source: Option<ServerId>,
+    /// The rank of the copy.
+    pub rank: u8,
+    /// The oldest copy that will do; 0: the class's fresh time.
+    pub max_age: Micros,
+    /// Join a fill that is under way.
+    pub join: bool,
+    /// The source gives only what it holds.
+    pub only_held: bool,
+    /// The parent keeps no copy.
+    pub no_parent_copy: bool,
+    /// Serve an ageing copy and fetch it anew behind.
+    pub renew: bool,
+    /// How long the answer is waited for.
+    pub limit: Micros,
+}
+
+/// What the core wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Write this attempt as soon as a connection takes it; [`Core::launch`] says then what to write.
+    Send {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// The request.
+        request: RequestKey,
+        /// The server.
+        server: ServerId,
+    },
+    /// Give this attempt up; nothing more is heard of it.
+    Drop(AttemptKey),
+    /// The request's final answer is there: [`Core::take`] gives it out once.
+    Answer(RequestKey),
+    /// Ask a server for its health; [`Core::probed`] takes the result.
+    Probe(ServerId),
+    /// Close idle connections to a server.
+    CloseIdle(ServerId),
+    /// A line for the operators.
+    Log(String),
+}
+
+enum State {
+    Open,
+    /// The answer is known, and no byte of it is out.
+    Chosen(Final),
+}
+
+struct Request {
+    ask: Ask,
+    arrived: Micros,
+    state: State,
+    sent: u8,
+    patience: Option<Handle>,
+    expiry: Option<Handle>,
+}
+
+struct Attempt {
+    request: RequestId,
+    number: u8,
+    server: ServerId,
+    get: Option<Get>,
+    purge: [Purge; 2],
+    sent: Micros,
+    until: Micros,
+    due: Option<Handle>,
+    /// Its bytes may have left.
+    launched: bool,
+}
+
+/// The requests and attempts of one edge proxy, around its decision module.
+pub struct Core {
+    router: Router,
+    settings: Settings,
+    requests: Slots<Request>,
+    attempts: Slots<Attempt>,
+    states: BTreeMap<ServerId, ServerState>,
+    purged: BTreeMap<Purge, Micros>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    commands: VecDeque<Command>,
+}
+
+impl Core {
+    /// A core whose module knows nothing yet but its settings.
+    ///
+    /// # Errors
+    ///
+    /// Settings that the module cannot use.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
+        Ok(Core {
+            router: Router::new(settings.clone(), seed, now)?,
+            settings,
+            requests: Slots::default(),
+            attempts: Slots::default(),
+            states: BTreeMap::new(),
+            purged: BTreeMap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            commands: VecDeque::new(),
+        })
+    }
+
+    /// The next thing that the core wants done.
+    pub fn command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
+    }
+
+    /// Requests whose answer has not been taken.
+    pub fn unanswered(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Takes a request in; it is owed one [`Command::Answer`], unless it is given up.
+    pub fn submit(&mut self, now: Micros, ask: Ask, due: &mut dyn Schedule<Due>) -> RequestKey {
+        let (deadline, expires) = (now + ask.patience.max(0), ask.expires);
+        let never_kept = self.settings.classes.get(usize::from(ask.class.0)).is_some_and(|c| c.never_kept);
+        let event = |id| {
+            let Ask { class, object, part, group, patience, .. } = ask;
+            let (tenant, size_kb, repeat, write) = (0, 0.0, false, never_kept);
+            Event::Request(crate::Request {
+                id,
+                class,
+                tenant,
+                object,
+                part,
+                group,
+                patience,
+                size_kb,
+                repeat,
+                write,
+            })
+        };
+        let request = Request {
+            ask: ask.clone(),
+            arrived: now,
+            state: State::Open,
+            sent: 0,
+            patience: None,
+            expiry: None,
+        };
+        let key = self.requests.insert(request);
+        let patience = due.add(deadline, Due::Patience(key));
+        let expiry = expires.map(|at| due.add(at, Due::Expiry(key)));
+        if let Some(request) = self.requests.get_mut(key) {
+            (request.patience, request.expiry) = (Some(patience), expiry);
+        }
+        self.events.push_back(event(RequestId(key.number())));
+        self.run(now, due);
+        key
+    }
+
+    /// The client has left: no answer is owed, and what is out for it is called off.
+    pub fn gone(&mut self, now: Micros, key: RequestKey, due: &mut dyn Schedule<Due>) {
+        let Some(request) = self.requests.get(key) else { return };
+        if matches!(request.state, State::Open) {
+            self.close(now, key, due);
+        }
+        self.forget(key, due);
+    }
+
+    /// Gives out a request's final answer, once; from then on it counts as begun.
+    pub fn take(&mut self, now: Micros, key: RequestKey, due: &mut dyn Schedule<Due>) -> Option<Final> {
+        let request = self.requests.get(key)?;
+        if matches!(request.state, State::Open) {
+            return None;
+        }
+        let denied = request.ask.expires.is_some_and(|at| at <= now);
+        match self.forget(key, due)?.state {
+            State::Open => None,
+            State::Chosen(_) if denied => Some(Final::Denied),
+            State::Chosen(answer) => Some(answer),
+        }
+    }
+
+    /// Whether a request's answer may be taken.
+    pub fn is_answered(&self, key: RequestKey) -> bool {
+        self.requests.get(key).is_some_and(|request| matches!(request.state, State::Chosen(_)))
+    }
+
+    /// An attempt's bytes are about to be written: the last word on whether, and on what. `None`: it is not
+    /// to be written; if it had not ended before, it ends as never sent.
+    pub fn launch(&mut self, now: Micros, key: AttemptKey, due: &mut dyn Schedule<Due>) -> Option<Order> {
+        let attempt = self.attempts.get(key)?;
+        // What was queued while a drain, a removal or a purge came in must not go out as it was decided.
+        let ready = |server: ServerId| self.states.get(&server) == Some(&ServerState::Ready);
+        let source = attempt.get.as_ref().map(|get| get.source).filter(|source| *source != attempt.server);
+        if !ready(attempt.server) || !source.is_none_or(ready) || attempt.until <= now {
+            self.end_attempt(now, key, End::bare(AttemptResult::Moot), due);
+            self.run(now, due);
+            return None;
+        }
+        let purged = attempt.purge.iter().filter_map(|what| self.purged.get(what)).max();
+        let bound = purged.map_or(0, |at| (now - at).max(1));
+        let attempt = self.attempts.get_mut(key)?;
+        attempt.launched = true;
+        let limit = attempt.until - now;
+        let request = Key::from_number(attempt.request.0);
+        let part = self.requests.get(request)?.ask.part;
+        let get = attempt.get.as_ref();
+        let asked = get.map_or(0, |get| get.max_age);
+        Some(Order {
+            request,
+            part,
+            source,
+            rank: get.map_or(0, |get| get.rank),
+            max_age: if bound > 0 && (asked == 0 || bound < asked) { bound } else { asked },
+            join: get.is_some_and(|get| get.join),
+            only_held: get.is_some_and(|get| get.only_held),
+            no_parent_copy: get.is_some_and(|get| get.no_parent_copy),
+            renew: get.is_some_and(|get| get.renew),
+            limit,
+        })
+    }
+
+    /// An attempt has ended; what comes late for one that was given up is ignored.
+    pub fn ended(&mut self, now: Micros, key: AttemptKey, end: End, due: &mut dyn Schedule<Due>) {
+        if self.attempts.get(key).is_some() {
+            self.end_attempt(now, key, end, due);
+            self.run(now, due);
+        }
+    }
+
+    /// A probe was answered.
+    pub fn probed(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        result: AttemptResult,
+        elapsed: Micros,
+        load: Vec<f32>,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        self.events.push_back(Event::Probed { server, result, elapsed, load });
+        self.run(now, due);
+    }
+
+    /// News of the list of servers.
+    pub fn members(
+        &mut self,
+        now: Micros,
+        kind: ListKind,
+        entries: Vec<Member>,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        if matches!(kind, ListKind::Cached | ListKind::Full) {
+            self.states.clear();
+        }
+        self.states.extend(entries.iter().map(|member| (member.server, member.state)));
+        self.events.push_back(Event::Members { kind, entries });
+        self.run(now, due);
+    }
+
+    /// A purge, and the time at which it was made.
+    pub fn purge(&mut self, now: Micros, what: Purge, at: Micros, due: &mut dyn Schedule<Due>) {
+        let kept = 2 * self.settings.rules.purge_settles;
+        self.purged.retain(|_, at| *at + kept > now);
+        let newest = self.purged.entry(what).or_insert(at);
+        *newest = at.max(*newest);
+        self.events.push_back(Event::Purged { what, age: now - at });
+        self.run(now, due);
+    }
+
+    /// A deadline of the core has fallen.
+    pub fn due(&mut self, now: Micros, what: Due, due: &mut dyn Schedule<Due>) {
+        match what {
+            Due::Timer(token) => self.events.push_back(Event::Timer(token)),
+            Due::Attempt(key) => {
+                // Unsent by then, it proves that nothing ran: no connection came up in time.
+                let launched = self.attempts.get(key).is_some_and(|attempt| attempt.launched);
+                let result = if launched { AttemptResult::Timeout } else { AttemptResult::ConnectFailed };
+                self.commands.push_back(Command::Drop(key));
+                self.end_attempt(now, key, End::bare(result), due);
+            }
+            Due::Patience(key) => self.on_patience(now, key, due),
+            Due::Expiry(key) => {
+                let Some(request) = self.requests.get_mut(key) else { return };
+                let open = matches!(request.state, State::Open);
+                request.state = State::Chosen(Final::Denied);
+                self.commands.push_back(Command::Answer(key));
+                if open {
+                    self.close(now, key, due);
+                }
+            }
+        }
+        self.run(now, due);
+    }
+
+    /// The advice on staying away that the module gives a class's clients.
+    pub fn pause(&self, class: ClassId) -> Micros {
+        self.router.advice(class)
+    }
+
+    /// The client's time is over: what is out for the request has timed out, and if the module then still
+    /// says nothing, the request has failed. Nothing stays without an answer.
+    fn on_patience(&mut self, now: Micros, key: RequestKey, due: &mut dyn Schedule<Due>) {
+        self.run(now, due);
+        let open = |core: &Self| core.requests.get(key).is_some_and(|r| matches!(r.state, State::Open));
+        if !open(self) {
+            return;
+        }
+        for attempt in self.attempts_of(key) {
+            let launched = self.attempts.get(attempt).is_some_and(|a| a.launched);
+            let result = if launched { AttemptResult::Timeout } else { AttemptResult::ConnectFailed };
+            self.commands.push_back(Command::Drop(attempt));
+            self.end_attempt(now, attempt, End::bare(result), due);
+        }
+        self.run(now, due);
+        if open(self) {
+            self.answer(key, Final::Failed { late: true });
+            self.close(now, key, due);
+        }
+    }
+
+    fn attempts_of(&self, key: RequestKey) -> Vec<AttemptKey> {
+        let id = RequestId(key.number());
+        self.attempts.iter().filter(|(_, a)| a.request == id).map(|(key, _)| key).collect()
+    }
+
+    /// Tells the module that nothing more is owed, and calls off what is out.
+    fn close(&mut self, now: Micros, key: RequestKey, due: &mut dyn Schedule<Due>) {
+        self.events.push_back(Event::Gone(RequestId(key.number())));
+        self.run(now, due);
+        for attempt in self.attempts_of(key) {
+            self.commands.push_back(Command::Drop(attempt));
+            self.end_attempt(now, attempt, End::bare(AttemptResult::Cancelled), due);
+        }
+        self.run(now, due);
+    }
+
+    fn forget(&mut self, key: RequestKey, due: &mut dyn Schedule<Due>) -> Option<Request> {
+        let request = self.requests.remove(key)?;
+        request.patience.into_iter().chain(request.expiry).for_each(|handle| due.remove(handle));
+        Some(request)
+    }
+
+    /// Settles a request's answer, if it has none yet.
+    fn answer(&mut self, key: RequestKey, answer: Final) -> bool {
+        let Some(request) = self.requests.get_mut(key) else { return false };
+        if !matches!(request.state, State::Open) {
+            return false;
+        }
+        request.state = State::Chosen(answer);
+        self.commands.push_back(Command::Answer(key));
+        true
+    }
+
+    /// Ends an attempt and tells the module; the first copy answers the request.
+    fn end_attempt(&mut self, now: Micros, key: AttemptKey, end: End, due: &mut dyn Schedule<Due>) {
+        let Some(attempt) = self.attempts.remove(key) else { return };
+        attempt.due.into_iter().for_each(|handle| due.remove(handle));
+        let request = Key::from_number(attempt.request.0);
+        if end.result == AttemptResult::Ok {
+            self.answer(request, Final::Served(end.copy));
+        }
+        let finished = !self.requests.get(request).is_some_and(|r| matches!(r.state, State::Open));
+        self.events.push_back(Event::Outcome(Outcome {
+            request: attempt.request,
+            attempt: attempt.number,
+            server: attempt.server,
+            result: end.result,
+            note: end.note,
+            elapsed: now - attempt.sent,
+            waited: end.waited,
+            finished,
+            load: end.load,
+        }));
+    }
+
+    /// Feeds the module what has happened until it wants nothing more.
+    fn run(&mut self, now: Micros, due: &mut dyn Schedule<Due>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, due);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action, due: &mut dyn Schedule<Due>) {
+        match action {
+            Action::Send { request, server, timeout } => self.send(now, request, server, timeout, None, due),
+            Action::Get(get) => self.send(now, get.request, get.server, get.timeout, Some(get), due),
+            Action::Refuse { request, retry_after } => {
+                let late = self.is_late(now, request);
+                self.answer(Key::from_number(request.0), Final::Refused { pause: retry_after.max(0), late });
+            }
+            Action::Fail(request) => {
+                let late = self.is_late(now, request);
+                self.answer(Key::from_number(request.0), Final::Failed { late });
+            }
+            Action::Cancel { request, attempt } => {
+                let found = self.attempts.iter().find(|(_, a)| a.request == request && a.number == attempt);
+                if let Some(key) = found.map(|(key, _)| key) {
+                    self.commands.push_back(Command::Drop(key));
+                    self.end_attempt(now, key, End::bare(AttemptResult::Cancelled), due);
+                }
+            }
+            Action::Timer { token, after } => {
+                due.add(now + after.max(0), Due::Timer(token));
+            }
+            Action::Probe(server) => self.commands.push_back(Command::Probe(server)),
+            Action::CloseIdle(server) => self.commands.push_back(Command::CloseIdle(server)),
+            Action::Log(line) => self.commands.push_back(Command::Log(line)),
+            // No platform of ours has messages between proxies or a list that must be asked for.
+            Action::Tell { .. } | Action::Watch(_) | Action::Fetch => {}
+        }
+    }
+
+    fn is_late(&self, now: Micros, request: RequestId) -> bool {
+        let request = self.requests.get(Key::from_number(request.0));
+        request.is_some_and(|request| request.arrived + request.ask.patience <= now)
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        server: ServerId,
+        timeout: Micros,
+        get: Option<Get>,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        let key = Key::from_number(id.0);
+        let most = self.settings.limits.max_attempts;
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let open = matches!(request.state, State::Open);
+        let number = request.sent;
+        request.sent = number.saturating_add(1);
+        let deadline = request.arrived + request.ask.patience.max(0);
+        let until = if timeout == 0 { deadline } else { (now + timeout).min(deadline) };
+        let purge = [Purge::Object(request.ask.object), Purge::Group(request.ask.group)];
+        let moot = !open || u32::from(number) >= most || until <= now;
+        let attempt =
+            Attempt { request: id, number, server, get, purge, sent: now, until, due: None, launched: false };
+        let key = self.attempts.insert(attempt);
+        let handle = due.add(until, Due::Attempt(key));
+        if let Some(attempt) = self.attempts.get_mut(key) {
+            attempt.due = Some(handle);
+        }
+        if moot {
+            self.end_attempt(now, key, End::bare(AttemptResult::Moot), due);
+        } else {
+            self.commands.push_back(Command::Send { attempt: key, request: Key::from_number(id.0), server });
+        }
+    }
+}
--- /dev/null
+++ b/src/deadlines.rs
@@ -0,0 +1,73 @@
+//! All deadlines of the program, in one ordered structure.
+
+use crate::interface::Micros;
+use std::collections::BTreeMap;
+
+/// Names one deadline, to take it back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Handle(Micros, u64);
+
+/// Where a part of the program hangs its own kind of deadline, without knowing of the others' kinds.
+pub trait Schedule<T> {
+    /// Hangs a deadline.
+    fn add(&mut self, at: Micros, what: T) -> Handle;
+    /// Takes a deadline back, if it is not over.
+    fn remove(&mut self, handle: Handle);
+}
+
+/// The deadlines, by time, and at one time in the order in which they were hung.
+pub struct Deadlines<D> {
+    due: BTreeMap<Handle, D>,
+    count: u64,
+}
+
+impl<D> Default for Deadlines<D> {
+    fn default() -> Self {
+        Deadlines { due: BTreeMap::new(), count: 0 }
+    }
+}
+
+impl<D> Deadlines<D> {
+    /// When the next one falls.
+    pub fn next(&self) -> Option<Micros> {
+        self.due.first_key_value().map(|(handle, _)| handle.0)
+    }
+
+    /// Takes the next one that has fallen by now.
+    pub fn pop(&mut self, now: Micros) -> Option<D> {
+        let first = self.due.first_entry().filter(|first| first.key().0 <= now)?;
+        Some(first.remove())
+    }
+}
+
+impl<T, D: From<T>> Schedule<T> for Deadlines<D> {
+    fn add(&mut self, at: Micros, what: T) -> Handle {
+        self.count += 1;
+        let handle = Handle(at, self.count);
+        self.due.insert(handle, what.into());
+        handle
+    }
+
+    fn remove(&mut self, handle: Handle) {
+        self.due.remove(&handle);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn they_fall_in_order_and_not_when_taken_back() {
+        let mut deadlines: Deadlines<char> = Deadlines::default();
+        let schedule: &mut dyn Schedule<char> = &mut deadlines;
+        schedule.add(20, 'c');
+        let gone = schedule.add(10, 'x');
+        schedule.add(10, 'a');
+        schedule.add(10, 'b');
+        schedule.remove(gone);
+        assert_eq!(deadlines.next(), Some(10));
+        let fallen: Vec<char> = std::iter::from_fn(|| deadlines.pop(15)).collect();
+        assert_eq!((fallen, deadlines.pop(19), deadlines.pop(20)), (vec!['a', 'b'], None, Some('c')));
+    }
+}
--- /dev/null
+++ b/src/feed/mod.rs
@@ -0,0 +1,167 @@
+//! The control feed: long polls over HTTP/1.1, begun anew with a growing pause when something breaks.
+
+mod http;
+
+use crate::config::events::Batch;
+use crate::deadlines::{Handle, Schedule};
+use crate::net::{ConnKey, Net, Reason, Role};
+use log::warn;
+use std::net::SocketAddr;
+
+/// How long the control feed may hold an answer back, ms.
+const WAIT_MS: i64 = 5000;
+/// How much later than that an answer may come, us; and how long a connection may take to come up.
+const SLACK: i64 = 2_000_000;
+/// The first and the longest pause before the next try, us.
+const PAUSES: [i64; 2] = [50_000, 1_000_000];
+/// Bytes of answers that are taken in at a time; a longer answer is no answer.
+const INPUT: usize = 1 << 22;
+
+/// What falls due for the feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The pause before the next try is over.
+    Retry,
+    /// Nothing came in time.
+    Overdue,
+}
+
+/// The connection to the control feed.
+pub struct Feed {
+    addr: SocketAddr,
+    last: u64,
+    conn: Option<ConnKey>,
+    up: bool,
+    deadline: Option<Handle>,
+    pause: i64,
+}
+
+impl Feed {
+    /// A feed that has had the events up to `last`.
+    pub fn new(addr: SocketAddr, last: u64) -> Self {
+        Feed { addr, last, conn: None, up: false, deadline: None, pause: PAUSES[0] }
+    }
+
+    /// Whether this connection is the feed's.
+    pub fn owns(&self, key: ConnKey) -> bool {
+        self.conn == Some(key)
+    }
+
+    /// Connects.
+    pub fn start(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        match net.connect(now, self.addr, Role::Feed) {
+            Ok(key) => {
+                (self.conn, self.up) = (Some(key), false);
+                self.expect(now + SLACK, Due::Overdue, due);
+            }
+            Err(_) => self.again(now, due),
+        }
+    }
+
+    fn expect(&mut self, at: i64, what: Due, due: &mut dyn Schedule<Due>) {
+        self.deadline.take().into_iter().for_each(|handle| due.remove(handle));
+        self.deadline = Some(due.add(at, what));
+    }
+
+    fn again(&mut self, now: i64, due: &mut dyn Schedule<Due>) {
+        self.expect(now + self.pause, Due::Retry, due);
+        self.pause = (2 * self.pause).min(PAUSES[1]);
+    }
+
+    fn broke(&mut self, now: i64, reason: Reason, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        if let Some(key) = self.conn.take() {
+            net.close(now, key, reason);
+        }
+        self.again(now, due);
+    }
+
+    fn ask(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let Some(key) = self.conn else { return };
+        let (last, addr) = (self.last, self.addr);
+        let head = format!("GET /v1/events?SUB={last}&wait={WAIT_MS} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
+        match net.write(key, [head.into()]) {
+            Ok(()) => self.expect(now + WAIT_MS * 1000 + SLACK, Due::Overdue, due),
+            Err(reason) => self.broke(now, reason, net, due),
+        }
+    }
+
+    /// The connection may be read from, or written to; gives the events that are new.
+    pub fn ready(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) -> Vec<Batch> {
+        let mut news = Vec::new();
+        let Some(key) = self.conn else { return news };
+        if !self.up {
+            match net.connected(key) {
+                Ok(false) => return news,
+                Ok(true) => {
+                    self.up = true;
+                    self.ask(now, net, due);
+                }
+                Err(reason) => {
+                    self.broke(now, reason, net, due);
+                    return news;
+                }
+            }
+        }
+        if let Err(reason) = net.flush(key) {
+            self.broke(now, reason, net, due);
+            return news;
+        }
+        loop {
+            let got = net.read(key, INPUT);
+            let end = got.is_ok_and(|got| got.end);
+            match net.input(key, |input| http::answer(input, end)) {
+                Some(Ok(Some(answer))) => {
+                    let read = serde_json::from_slice::<Batch>(&answer.body);
+                    match read {
+                        Ok(batch) if answer.status == 200 => {
+                            self.pause = PAUSES[0];
+                            self.take(batch, &mut news);
+                        }
+                        other => {
+                            warn!("feed: status {}, {:?}", answer.status, other.err());
+                            self.broke(now, Reason::BadMessage, net, due);
+                            return news;
+                        }
+                    }
+                    if answer.close {
+                        self.broke(now, Reason::Done, net, due);
+                        return news;
+                    }
+                    self.ask(now, net, due);
+                }
+                Some(Ok(None)) | None => {}
+                Some(Err(http::Bad)) => {
+                    self.broke(now, Reason::BadMessage, net, due);
+                    return news;
+                }
+            }
+            match got {
+                Err(reason) => self.broke(now, reason, net, due),
+                Ok(got) if got.end => self.broke(now, Reason::PeerClosed, net, due),
+                Ok(got) if got.more => continue,
+                Ok(_) => {}
+            }
+            return news;
+        }
+    }
+
+    /// Passes on what was not had yet.
+    fn take(&mut self, mut batch: Batch, news: &mut Vec<Batch>) {
+        batch.events.retain(|event| event.n > self.last);
+        let newest = batch.events.iter().map(|event| event.n).max();
+        self.last = self.last.max(newest.unwrap_or(0)).max(batch.n);
+        if !batch.events.is_empty() {
+            news.push(batch);
+        }
+    }
+
+    /// A deadline of the feed has fallen.
+    pub fn due(&mut self, now: i64, what: Due, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        self.deadline = None;
+        match what {
+            Due::Retry => self.start(now, net, due),
+            Due::Overdue if self.up => self.broke(now, Reason::Silent, net, due),
+            Due::Overdue => self.broke(now, Reason::ConnectTimeout, net, due),
+        }
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! The fronts: each turns its wire's messages into asks and the final answers back, and decides nothing.
+
+pub mod thrift;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
-//! The decisions of a traffic router for a two-tier cache.
+//! An edge proxy for a two-tier cache: real sockets around a decision module.
 //!
-//! [`Router`] is a pure state machine: it does no I/O, reads no clock and keeps no globals. The program
+//! [`Router`], the module, is a pure state machine: it does no I/O, reads no clock and keeps no globals. The program
 //! that loads it passes in the time and one [`Event`] after another, and carries out the [`Action`]s that
 //! come back. Two routers with equal settings, seed and events decide alike.
 //!
@@ -11,8 +11,17 @@
 #[doc = include_str!("../README.md")]
 struct Readme;
 
+pub mod config;
+pub mod core;
+pub mod deadlines;
+pub mod feed;
+pub mod front;
 pub mod interface;
 pub mod logic;
+pub mod net;
+pub mod server;
+pub mod slots;
+pub mod upstream;
 mod validate;
 
 pub use interface::{
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -421,9 +421,7 @@
         if open.attempts.iter().any(|a| a.open) && open.arrived + open.request.patience > now {
             return; // one is still out and may answer
         }
-        let class = self.class(&open.request);
-        let (limits, advice) = (&self.settings.limits, (class.target as f64 * ADVICE) as Micros);
-        let retry_after = if limits.retry_after { advice.min(limits.max_retry_after) } else { 0 };
+        let retry_after = self.advice(open.request.class);
         out.push(match self.may_refuse(open) {
             true => Action::Refuse { request: id, retry_after },
             false => Action::Fail(id),
@@ -431,6 +429,17 @@
         self.finish(id, out);
     }
 
+    /// How long a client of the class should stay away that is refused; 0: no advice.
+    pub fn advice(&self, class: ClassId) -> Micros {
+        let target = self.settings.classes.get(usize::from(class.0)).map_or(0, |class| class.target);
+        let (limits, advice) = (&self.settings.limits, (target as f64 * ADVICE) as Micros);
+        if limits.retry_after {
+            advice.min(limits.max_retry_after)
+        } else {
+            0
+        }
+    }
+
     /// Ends a request: its other attempts are called off, and it is kept until they have ended.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,336 @@
+//! The mio loop's sockets: connection slots with bounded buffers, partial reads and writes, and one log line
+//! with a reason code for each connection that ends.
+
+mod clock;
+mod reason;
+
+pub use clock::Clock;
+pub use reason::Reason;
+
+use crate::slots::{Key, Slots};
+use bytes::{Bytes, BytesMut};
+use log::info;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use std::collections::VecDeque;
+use std::io::{self, IoSlice, Read, Write};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A connection of the table.
+pub type ConnKey = Key;
+
+/// Bytes taken from a socket at a time.
+const CHUNK: usize = 64 * 1024;
+/// Slices handed to one vectored write.
+const SLICES: usize = 16;
+
+/// What a connection is for, as its log line says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// A client of the platform's protocol.
+    Thrift,
+    /// A client of the second front.
+    Signed,
+    /// A table cache, a parent or the origin.
+    Upstream,
+    /// The control feed.
+    Feed,
+}
+
+/// What a poll found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ready {
+    /// A listener, or another source registered under this number (below 2^32).
+    Source(usize),
+    /// A connection.
+    Conn {
+        /// Which.
+        key: ConnKey,
+        /// There may be bytes, or an end.
+        read: bool,
+        /// It may take bytes, or has come up, or failed.
+        write: bool,
+    },
+}
+
+/// What one call of [`Net::read`] left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Got {
+    /// The buffer's limit was reached: call again once some of it is used.
+    pub more: bool,
+    /// The peer writes nothing more.
+    pub end: bool,
+    /// Bytes that were read.
+    pub bytes: usize,
+}
+
+struct Conn {
+    stream: TcpStream,
+    role: Role,
+    peer: String,
+    opened: i64,
+    input: BytesMut,
+    out: VecDeque<Bytes>,
+    out_bytes: usize,
+    read: u64,
+    wrote: u64,
+}
+
+/// The poll and the table of connections.
+pub struct Net {
+    poll: Poll,
+    events: Events,
+    conns: Slots<Conn>,
+    count: [usize; 4],
+    scratch: Vec<u8>,
+    held: usize,
+}
+
+impl Net {
+    /// An empty table.
+    ///
+    /// # Errors
+    ///
+    /// No poll can be had from the system.
+    pub fn new() -> io::Result<Self> {
+        Ok(Net {
+            poll: Poll::new()?,
+            events: Events::with_capacity(1024),
+            conns: Slots::default(),
+            count: [0; 4],
+            scratch: vec![0; CHUNK],
+            held: 0,
+        })
+    }
+
+    /// Watches a listener or another source under a number below 2^32.
+    ///
+    /// # Errors
+    ///
+    /// The system refuses.
+    pub fn watch(&mut self, source: &mut impl mio::event::Source, number: usize) -> io::Result<()> {
+        self.poll.registry().register(source, Token(number), Interest::READABLE)
+    }
+
+    /// Ends the watch of a listener.
+    ///
+    /// # Errors
+    ///
+    /// It was not watched.
+    pub fn unwatch(&mut self, source: &mut impl mio::event::Source) -> io::Result<()> {
+        self.poll.registry().deregister(source)
+    }
+
+    /// Waits until something is ready, for `wait` at most.
+    ///
+    /// # Errors
+    ///
+    /// The poll broke.
+    pub fn poll(&mut self, wait: Option<Duration>, ready: &mut Vec<Ready>) -> io::Result<()> {
+        ready.clear();
+        match self.poll.poll(&mut self.events, wait) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => return Ok(()),
+            other => other?,
+        }
+        ready.extend(self.events.iter().map(|event| match event.token().0 as u64 >> 32 {
+            0 => Ready::Source(event.token().0),
+            _ => Ready::Conn {
+                key: Key::from_number(event.token().0 as u64),
+                read: event.is_readable() || event.is_read_closed() || event.is_error(),
+                write: event.is_writable() || event.is_write_closed() || event.is_error(),
+            },
+        }));
+        Ok(())
+    }
+
+    /// Connections of a role.
+    pub fn count(&self, role: Role) -> usize {
+        self.count[role as usize]
+    }
+
+    /// Bytes that all connections' buffers hold.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Takes the next connection of a listener; `None` when there is none, or it failed by itself.
+    ///
+    /// # Errors
+    ///
+    /// The process is out of descriptors or the like.
+    pub fn accept(&mut self, now: i64, listener: &TcpListener, role: Role) -> io::Result<Option<ConnKey>> {
+        loop {
+            match listener.accept() {
+                Ok((stream, peer)) => return self.add(now, stream, role, peer).map(Some),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted
+                    ) => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Begins to connect.
+    ///
+    /// # Errors
+    ///
+    /// The connection is refused at once, or the process is out of descriptors.
+    pub fn connect(&mut self, now: i64, peer: SocketAddr, role: Role) -> io::Result<ConnKey> {
+        let stream = TcpStream::connect(peer)?;
+        self.add(now, stream, role, peer)
+    }
+
+    fn add(&mut self, now: i64, stream: TcpStream, role: Role, peer: SocketAddr) -> io::Result<ConnKey> {
+        let _ = stream.set_nodelay(true); // only slower without
+        let conn = Conn {
+            stream,
+            role,
+            peer: peer.to_string(),
+            opened: now,
+            input: BytesMut::new(),
+            out: VecDeque::new(),
+            out_bytes: 0,
+            read: 0,
+            wrote: 0,
+        };
+        let key = self.conns.insert(conn);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let registry = self.poll.registry();
+        let conn = self.conns.get_mut(key).map(|conn| &mut conn.stream);
+        let done = conn.map_or(Ok(()), |s| registry.register(s, Token(key.number() as usize), interest));
+        if let Err(error) = done {
+            self.conns.remove(key);
+            return Err(error);
+        }
+        self.count[role as usize] += 1;
+        Ok(key)
+    }
+
+    /// Whether a connection that was begun has come up.
+    ///
+    /// # Errors
+    ///
+    /// It was refused or failed.
+    pub fn connected(&mut self, key: ConnKey) -> Result<bool, Reason> {
+        let Some(conn) = self.conns.get(key) else { return Err(Reason::PeerReset) };
+        if let Ok(Some(_)) | Err(_) = conn.stream.take_error() {
+            return Err(Reason::ConnectRefused);
+        }
+        match conn.stream.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+            Err(_) => Err(Reason::ConnectRefused),
+        }
+    }
+
+    /// Reads what has come until nothing is left or the buffer holds `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn read(&mut self, key: ConnKey, limit: usize) -> Result<Got, Reason> {
+        let Some(conn) = self.conns.get_mut(key) else { return Err(Reason::PeerReset) };
+        let before = conn.input.len();
+        let got = loop {
+            let room = limit.saturating_sub(conn.input.len()).min(CHUNK);
+            if room == 0 {
+                break Ok((true, false));
+            }
+            match conn.stream.read(&mut self.scratch[..room]) {
+                Ok(0) => break Ok((false, true)),
+                Ok(n) => {
+                    conn.input.extend_from_slice(&self.scratch[..n]);
+                    conn.read += n as u64;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break Ok((false, false)),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => break Err(Reason::PeerReset),
+            }
+        };
+        let bytes = conn.input.len() - before;
+        self.held += bytes;
+        got.map(|(more, end)| Got { more, end, bytes })
+    }
+
+    /// The bytes that were read and not used yet, to be used by `with`.
+    pub fn input<T>(&mut self, key: ConnKey, with: impl FnOnce(&mut BytesMut) -> T) -> Option<T> {
+        let conn = self.conns.get_mut(key)?;
+        let before = conn.input.len();
+        let result = with(&mut conn.input);
+        self.held = (self.held + conn.input.len()).saturating_sub(before);
+        Some(result)
+    }
+
+    /// Bytes that wait to be written.
+    pub fn unwritten(&self, key: ConnKey) -> usize {
+        self.conns.get(key).map_or(0, |conn| conn.out_bytes)
+    }
+
+    /// Bytes that have been written so far.
+    pub fn wrote(&self, key: ConnKey) -> u64 {
+        self.conns.get(key).map_or(0, |conn| conn.wrote)
+    }
+
+    /// Writes as much as the socket takes now and keeps the rest for [`Net::flush`].
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn write(&mut self, key: ConnKey, parts: impl IntoIterator<Item = Bytes>) -> Result<(), Reason> {
+        let Some(conn) = self.conns.get_mut(key) else { return Err(Reason::PeerReset) };
+        for part in parts.into_iter().filter(|part| !part.is_empty()) {
+            conn.out_bytes += part.len();
+            self.held += part.len();
+            conn.out.push_back(part);
+        }
+        self.flush(key)
+    }
+
+    /// Goes on writing.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn flush(&mut self, key: ConnKey) -> Result<(), Reason> {
+        let Some(conn) = self.conns.get_mut(key) else { return Err(Reason::PeerReset) };
+        while !conn.out.is_empty() {
+            let slices: Vec<IoSlice> = conn.out.iter().take(SLICES).map(|part| IoSlice::new(part)).collect();
+            let mut n = match conn.stream.write_vectored(&slices) {
+                Ok(0) => return Err(Reason::PeerReset),
+                Ok(n) => n,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                // Not up yet: the bytes go out once it is.
+                Err(error) if error.kind() == io::ErrorKind::NotConnected => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(_) => return Err(Reason::PeerReset),
+            };
+            conn.wrote += n as u64;
+            conn.out_bytes -= n;
+            self.held = self.held.saturating_sub(n);
+            while let Some(front) = conn.out.front_mut().filter(|_| n > 0) {
+                let part = n.min(front.len());
+                n -= part;
+                let _ = front.split_to(part);
+                if front.is_empty() {
+                    conn.out.pop_front();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends a connection, with its log line.
+    pub fn close(&mut self, now: i64, key: ConnKey, reason: Reason) {
+        let Some(mut conn) = self.conns.remove(key) else { return };
+        let _ = self.poll.registry().deregister(&mut conn.stream);
+        self.count[conn.role as usize] -= 1;
+        self.held = self.held.saturating_sub(conn.input.len() + conn.out_bytes);
+        let (role, peer, code, age) = (conn.role, &conn.peer, reason.code(), (now - conn.opened) / 1000);
+        let (read, wrote) = (conn.read, conn.wrote);
+        info!("conn={key} role={role:?} peer={peer} end={code} age_ms={age} read={read} wrote={wrote}");
+    }
+}
--- /dev/null
+++ b/src/server/members.rs
@@ -0,0 +1,60 @@
+//! The servers by name: the control feed's words on one side, the decision module's numbers on the other.
+
+use crate::config::events::{Health, Host};
+use crate::config::settings::Names;
+use crate::interface::{Member, Micros, ServerId, ServerState, ZoneId};
+use std::collections::HashMap;
+
+/// A number that no zone and no kind of the settings has.
+const NONE: u16 = u16::MAX;
+
+/// The servers that the list has named so far.
+#[derive(Default)]
+pub struct Members {
+    ids: HashMap<String, ServerId>,
+    names: HashMap<ServerId, String>,
+}
+
+impl Members {
+    /// The name of a server.
+    pub fn name(&self, server: ServerId) -> Option<&str> {
+        self.names.get(&server).map(String::as_str)
+    }
+
+    /// The number of a server: the hex digits of its name, or else some number that is free.
+    pub fn id(&mut self, name: &str) -> ServerId {
+        if let Some(known) = self.ids.get(name) {
+            return *known;
+        }
+        let digits = name.rsplit('-').next().unwrap_or(name);
+        let hash =
+            name.bytes().fold(0x811c_9dc5, |hash: u32, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193));
+        let mut id = ServerId(u32::from_str_radix(digits, 16).unwrap_or(hash));
+        while self.names.contains_key(&id) {
+            id = ServerId(id.0.wrapping_add(1));
+        }
+        self.ids.insert(name.to_owned(), id);
+        self.names.insert(id, name.to_owned());
+        id
+    }
+
+    /// An entry of the list in the module's words.
+    pub fn member(&mut self, host: &Host, names: &Names) -> Member {
+        let place = |list: &[String], name: &str| {
+            list.iter().position(|known| known == name).map_or(NONE, |place| place as u16)
+        };
+        Member {
+            server: self.id(&host.host),
+            up_since: (host.born_ms > 0.0).then_some((host.born_ms * 1000.0) as Micros),
+            weight: host.share,
+            kind: place(&names.kinds, &host.class),
+            cell: host.block,
+            zone: ZoneId(place(&names.zones, &host.site)),
+            state: match host.health {
+                Health::Up => ServerState::Ready,
+                Health::Draining => ServerState::Draining,
+                Health::Removed => ServerState::Gone,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/server/words.rs
@@ -0,0 +1,158 @@
+//! What one part's words mean in another's.
+
+use crate::config::settings::Names;
+use crate::core::{Copy, End, Final, Order};
+use crate::front::thrift::codec::Reply;
+use crate::interface::{AttemptResult, ClassId, GroupId, Micros, Note, ObjectId};
+use crate::upstream::lines::{Answer, Fetch};
+use crate::upstream::Ending;
+use bytes::Bytes;
+use std::collections::BTreeMap;
+
+/// The longest patience that is taken at its word, ms.
+const MOST_PATIENCE: i64 = 600_000;
+
+/// The fields of a client's request, read.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Form {
+    /// The class.
+    pub class: ClassId,
+    /// The object.
+    pub object: ObjectId,
+    /// Its part.
+    pub part: u32,
+    /// Its group.
+    pub group: GroupId,
+    /// How long the client waits from its send.
+    pub patience: Micros,
+    /// The request's id on every wire.
+    pub trace: String,
+    /// The object as the client named it.
+    pub item: String,
+    /// The tag of the client's copy.
+    pub seen: Option<String>,
+}
+
+impl Default for Form {
+    fn default() -> Self {
+        let (class, object, group) = (ClassId(0), ObjectId(0), GroupId(0));
+        let (trace, item) = (String::new(), String::new());
+        Form { class, object, part: 0, group, patience: 0, trace, item, seen: None }
+    }
+}
+
+/// Reads a request's fields; unknown ones are ignored.
+pub fn form(fields: &BTreeMap<String, String>, names: &Names) -> Result<Form, String> {
+    let field = |name: &str| fields.get(name).map(String::as_str);
+    let needed = |name: &str| field(name).ok_or_else(|| format!("{name} is missing"));
+    fn number<T: std::str::FromStr>(name: &str, value: &str) -> Result<T, String> {
+        value.parse().map_err(|_| format!("{name} is no number of its range"))
+    }
+    let route = needed("route")?;
+    let class = names.classes.iter().position(|known| known == route).ok_or("route is unknown")?;
+    // Both go onto another wire as they are: nothing but hex digits may.
+    let hex = |name: &'static str| {
+        let value = needed(name)?;
+        let fits = value.len() == 16 && value.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u64::from_str_radix(value, 16).ok().filter(|_| fits);
+        Ok::<_, String>((value, number.ok_or_else(|| format!("{name} is not 16 hex digits"))?))
+    };
+    let ((trace, _), (item, object)) = (hex("trace")?, hex("entity")?);
+    let patience: i64 = number("patience", needed("patience")?)?;
+    if !(1..=MOST_PATIENCE).contains(&patience) {
+        return Err("patience is no number of its range".into());
+    }
+    Ok(Form {
+        class: ClassId(class as u16),
+        object: ObjectId(object),
+        part: field("slice").map_or(Ok(0), |value| number("slice", value))?,
+        group: GroupId(field("set").map_or(Ok(0), |value| number("set", value))?),
+        patience: patience * 1000,
+        trace: trace.to_owned(),
+        item: item.to_owned(),
+        seen: field("seen").map(str::to_owned),
+    })
+}
+
+/// An attempt as the line protocol words it.
+pub fn fetch(
+    order: &Order,
+    class: &str,
+    from: Option<&str>,
+    item: &str,
+    seen: &Option<String>,
+    body: &Bytes,
+) -> Fetch {
+    // Whole milliseconds: an age never rounds up, and never to 0, which would mean any age.
+    let oldest = if order.max_age > 0 { (order.max_age / 1000).max(1) } else { 0 };
+    Fetch {
+        class: class.to_owned(),
+        item: item.to_owned(),
+        chunk: order.part,
+        limit: (order.limit / 1000).max(1),
+        from: from.map(str::to_owned),
+        rank: order.rank,
+        oldest,
+        share: order.join,
+        peek: order.only_held,
+        pass: order.no_parent_copy,
+        swr: order.renew,
+        seen: seen.clone(),
+        body: body.clone(),
+    }
+}
+
+/// What an attempt's ending on the wire proves.
+pub fn end(ending: Ending, report: &[String]) -> End {
+    let answer = match ending {
+        Ending::NotConnected => return End::bare(AttemptResult::ConnectFailed),
+        Ending::Reset => return End::bare(AttemptResult::Reset),
+        Ending::Answer(answer) => answer,
+    };
+    let result = match answer.word.as_str() {
+        "200" | "304" if answer.dropped => AttemptResult::Error,
+        "200" | "304" | "alive" | "status" => AttemptResult::Ok,
+        "404" => AttemptResult::Miss,
+        "503" => AttemptResult::Full,
+        "504" => AttemptResult::Moot,
+        _ => AttemptResult::Error, // 500, dead, and any word not known here: it may have run
+    };
+    let note = answer.field("tell").and_then(|word| {
+        Some(match word {
+            "local" => Note::Hit,
+            "pulled" => Note::Filled,
+            "pulled_far" => Note::FilledByOrigin,
+            "rode" => Note::Joined,
+            "expired" => Note::Old,
+            "turned_away" => Note::SourceRefused,
+            "cut_off" => Note::SourceLost,
+            "not_there" => Note::SourceLacks,
+            "no_place" => Note::NoPlace,
+            "far_fault" => Note::OriginFailed,
+            _ => return None,
+        })
+    });
+    let waited = answer.field("waited").and_then(|ms| ms.parse::<f64>().ok()).unwrap_or(0.0);
+    End { result, note, waited: (waited * 1000.0) as Micros, load: answer.load(report), copy: copy(answer) }
+}
+
+fn copy(answer: Answer) -> Copy {
+    Copy {
+        same: answer.word == "304",
+        tag: answer.field("ver").unwrap_or_default().to_owned(),
+        born: answer.field("born").and_then(|ms| ms.parse().ok()).unwrap_or(0),
+        bytes: answer.body,
+    }
+}
+
+/// A final answer as the platform's clients get it.
+pub fn reply(answer: Final) -> Reply {
+    match answer {
+        Final::Served(copy) => {
+            let fields = if copy.same { vec![("current", "1".to_owned())] } else { Vec::new() };
+            Reply::Answer { body: copy.bytes, fields }
+        }
+        Final::Refused { pause, .. } => Reply::Refused { pause: pause / 1000 },
+        Final::Failed { .. } | Final::Denied => Reply::Failed,
+    }
+}
--- /dev/null
+++ b/src/upstream/lines.rs
@@ -0,0 +1,279 @@
+//! The line protocol to table caches, parents and the origin.
+
+use bytes::{Buf, Bytes, BytesMut};
+use std::fmt::Write;
+
+/// The longest line of an answer.
+const LONGEST_LINE: usize = 4096;
+/// The most bytes that an answer may carry: an object of the protocol, with room.
+const MOST_BYTES: usize = 1 << 20;
+
+/// A request as it is written.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fetch {
+    /// The class's name.
+    pub class: String,
+    /// The object, as the client named it.
+    pub item: String,
+    /// The part.
+    pub chunk: u32,
+    /// How long the answer is waited for, in milliseconds.
+    pub limit: i64,
+    /// The id of the source of a fill.
+    pub from: Option<String>,
+    /// The rank at which the copy is kept.
+    pub rank: u8,
+    /// The oldest copy that will do, in milliseconds; 0: not said.
+    pub oldest: i64,
+    /// Join a fill that is under way.
+    pub share: bool,
+    /// The source gives only what it holds.
+    pub peek: bool,
+    /// The parent keeps no copy.
+    pub pass: bool,
+    /// Renew an ageing copy behind.
+    pub swr: bool,
+    /// The tag of the client's copy; passed on only if it is one word that can't be mistaken.
+    pub seen: Option<String>,
+    /// What the client sent along.
+    pub body: Bytes,
+}
+
+/// The bytes of a request before its body.
+pub fn fetch_head(id: &str, fetch: &Fetch) -> Bytes {
+    let Fetch { class, item, chunk, limit, .. } = fetch;
+    let mut line = format!("fetch {id} cls={class},item={item},chunk={chunk},limit={limit}");
+    let mut field = |name: &str, value: &dyn std::fmt::Display| {
+        let _ = write!(line, ",{name}={value}"); // a string takes all
+    };
+    if let Some(from) = &fetch.from {
+        field("from", from);
+    }
+    if fetch.rank > 0 {
+        field("rank", &fetch.rank);
+    }
+    if fetch.oldest > 0 {
+        field("oldest", &fetch.oldest);
+    }
+    let words = [(fetch.share, "share"), (fetch.peek, "peek"), (fetch.pass, "pass"), (fetch.swr, "swr")];
+    let mode: Vec<&str> = words.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+    if !mode.is_empty() {
+        field("mode", &mode.join("+"));
+    }
+    // A client's tag is its own words: one that would break the line is not passed on.
+    let plain = |tag: &&String| {
+        let fits = |c: char| c.is_ascii_alphanumeric() || "_-.:".contains(c);
+        !tag.is_empty() && tag.len() <= 128 && tag.chars().all(fits)
+    };
+    if let Some(seen) = fetch.seen.as_ref().filter(plain) {
+        field("seen", seen);
+    }
+    let _ = write!(line, " {}\r\n", fetch.body.len());
+    line.into()
+}
+
+/// Gives a request up.
+pub fn abort(id: &str) -> Bytes {
+    format!("abort {id}\r\n").into()
+}
+
+/// Asks for the health, with the load report.
+pub fn stats(tag: &str) -> Bytes {
+    format!("stats {tag}\r\n").into()
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The id of what it answers.
+    pub id: String,
+    /// Its word: `200`, `alive` and the like.
+    pub word: String,
+    /// Its fields.
+    pub fields: Vec<(String, String)>,
+    /// Its bytes.
+    pub body: Bytes,
+    /// Its bytes were let go for want of memory.
+    pub dropped: bool,
+}
+
+impl Answer {
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The load report, in the order of the names.
+    pub fn load(&self, names: &[String]) -> Vec<f32> {
+        let pairs: Vec<(&str, f32)> = self
+            .field("meter")
+            .unwrap_or_default()
+            .split(';')
+            .filter_map(|pair| pair.split_once(':'))
+            .filter_map(|(name, value)| Some((name, value.parse().ok()?)))
+            .collect();
+        // On the sockets some names differ from those of the settings; these stand in the settings' order.
+        let named = |name: &String| pairs.iter().find(|(known, _)| known == name).map(|(_, value)| *value);
+        let found: Option<Vec<f32>> = names.iter().map(named).collect();
+        found.unwrap_or_else(|| pairs.iter().map(|(_, value)| *value).collect())
+    }
+}
+
+/// What reads a connection's answers, each taken whole.
+#[derive(Debug, Default)]
+pub struct Reader {
+    head: Option<(Answer, usize)>,
+    skip: usize,
+}
+
+/// The peer does not speak the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bad;
+
+impl Reader {
+    /// The next whole answer of what has come. An answer longer than `room` bytes is let go as it comes.
+    ///
+    /// # Errors
+    ///
+    /// Something that is no answer.
+    pub fn next(&mut self, input: &mut BytesMut, room: usize) -> Result<Option<Answer>, Bad> {
+        loop {
+            if self.skip > 0 {
+                let part = self.skip.min(input.len());
+                input.advance(part);
+                self.skip -= part;
+                if self.skip > 0 {
+                    return Ok(None);
+                }
+                return Ok(self.head.take().map(|(answer, _)| answer));
+            }
+            if let Some((_, length)) = &self.head {
+                if input.len() < length + 2 {
+                    return Ok(None);
+                }
+                let body = input.split_to(*length).freeze();
+                if input.split_to(2)[..] != b"\r\n"[..] {
+                    return Err(Bad);
+                }
+                return Ok(self.head.take().map(|(answer, _)| Answer { body, ..answer }));
+            }
+            let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") else {
+                return if input.len() > LONGEST_LINE { Err(Bad) } else { Ok(None) };
+            };
+            let line = input.split_to(end + 2);
+            if end == 0 {
+                continue; // the CR LF behind no bytes
+            }
+            let (answer, length) = head(&line[..end])?;
+            if length == 0 {
+                return Ok(Some(answer));
+            }
+            if length > room {
+                self.skip = length + 2;
+                self.head = Some((Answer { dropped: true, ..answer }, length));
+            } else {
+                input.reserve((length + 2).saturating_sub(input.len()));
+                self.head = Some((answer, length));
+            }
+        }
+    }
+}
+
+/// The line of an answer, and the bytes that follow it.
+fn head(line: &[u8]) -> Result<(Answer, usize), Bad> {
+    let line = std::str::from_utf8(line).map_err(|_| Bad)?;
+    let words: Vec<&str> = line.split(' ').collect();
+    let (id, word, fields, length) = match words[..] {
+        [id, word] => (id, word, "-", "0"),
+        [id, word, fields] => (id, word, fields, "0"),
+        [id, word, fields, length] => (id, word, fields, length),
+        _ => return Err(Bad),
+    };
+    let length: usize = length.parse().map_err(|_| Bad)?;
+    if id.is_empty() || word.is_empty() || length > MOST_BYTES {
+        return Err(Bad);
+    }
+    let pair = |pair: &str| pair.split_once('=').map(|(name, value)| (name.to_owned(), value.to_owned()));
+    let fields = match fields {
+        "-" | "" => Vec::new(),
+        list => list.split(',').map(pair).collect::<Option<_>>().ok_or(Bad)?,
+    };
+    let (id, word) = (id.to_owned(), word.to_owned());
+    Ok((Answer { id, word, fields, body: Bytes::new(), dropped: false }, length))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(bytes: &[u8], step: usize, room: usize) -> Result<Vec<Answer>, Bad> {
+        let (mut reader, mut input, mut all) = (Reader::default(), BytesMut::new(), Vec::new());
+        for part in bytes.chunks(step) {
+            input.extend_from_slice(part);
+            while let Some(answer) = reader.next(&mut input, room)? {
+                all.push(answer);
+            }
+        }
+        Ok(all)
+    }
+
+    #[test]
+    fn answers_are_read_whole_however_they_come() {
+        let text =
+            b"7 200 ver=a1,born=5,meter=inflight:7;x0:0.5 4\r\nab\r\n\r\n8 404 tell=not_there 0\r\n\r\n\
+            p1 alive\r\n9 304 ver=q 0\r\n";
+        for step in 1..text.len() {
+            let all = read(text, step, 100).expect("answers");
+            let words: Vec<&str> = all.iter().map(|a| a.word.as_str()).collect();
+            assert_eq!(words, ["200", "404", "alive", "304"], "in steps of {step}");
+            assert_eq!((&all[0].body[..], all[0].field("ver")), (&b"ab\r\n"[..], Some("a1")));
+            assert_eq!(all[0].load(&["rif".into(), "x0".into()]), [7.0, 0.5]);
+            assert_eq!((all[1].field("tell"), &all[2].id[..]), (Some("not_there"), "p1"));
+        }
+    }
+
+    #[test]
+    fn what_has_no_room_is_let_go_and_the_next_answer_is_read() {
+        let all = read(b"1 200 - 6\r\nabcdef\r\n2 503 - 0\r\n", 3, 5).expect("answers");
+        assert_eq!((all[0].dropped, all[0].body.len(), &all[1].word[..]), (true, 0, "503"));
+    }
+
+    #[test]
+    fn what_is_no_answer_is_bad() {
+        let long = [b"1 200 a=", &[b'x'; 5000][..]].concat();
+        let bad: [&[u8]; 7] = [
+            b"1\r\n",
+            b"1 200 - x\r\n",
+            b"1 200 - 9999999999\r\n",
+            b"1 200 a 0\r\n",
+            b"1 200 - 0 5\r\n",
+            b"1 \xff - 0\r\n",
+            b"1 200 - 2\r\nabXX",
+        ];
+        for text in bad.into_iter().chain([&long[..]]) {
+            assert_eq!(read(text, 64, 100), Err(Bad), "{}", String::from_utf8_lossy(text));
+        }
+    }
+
+    #[test]
+    fn a_request_names_only_what_is_said() {
+        let plain = Fetch { class: "piece".into(), item: "7f".into(), limit: 900, ..Fetch::default() };
+        let head = |fetch: &Fetch| String::from_utf8(fetch_head("5", fetch).to_vec()).expect("text");
+        assert_eq!(head(&plain), "fetch 5 cls=piece,item=7f,chunk=0,limit=900 0\r\n");
+        let full = Fetch {
+            chunk: 3,
+            from: Some("s-1".into()),
+            rank: 2,
+            oldest: 40,
+            share: true,
+            swr: true,
+            seen: Some("t4".into()),
+            body: Bytes::from_static(b"xyz"),
+            ..plain.clone()
+        };
+        let fields = "chunk=3,limit=900,from=s-1,rank=2,oldest=40,mode=share+swr,seen=t4";
+        assert_eq!(head(&full), format!("fetch 5 cls=piece,item=7f,{fields} 3\r\n"));
+        let hostile = Fetch { seen: Some("a,from=s-9 0\r\n".into()), ..plain.clone() };
+        assert_eq!(head(&hostile), head(&plain), "a tag never adds words to the line");
+    }
+}
--- /dev/null
+++ b/src/upstream/mod.rs
@@ -0,0 +1,520 @@
+//! Connections to table caches, parents and the origin: pooled, with many requests on each. A request is a
+//! numbered job here, which is worded only when its bytes can leave; a job once written never moves.
+
+pub mod lines;
+
+use crate::deadlines::{Handle, Schedule};
+use crate::net::{ConnKey, Net, Reason, Role};
+use lines::{Answer, Fetch, Reader};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+
+/// Bytes of answers that are taken in at a time.
+const INPUT: usize = 1 << 19;
+/// A connection on which this many jobs in a row were given up unanswered is not to be trusted.
+const UNHEARD: u32 = 3;
+/// A connection on which jobs wait and nothing was heard for this long is silent, us.
+const SILENT: i64 = 1_200_000;
+/// Connections to one server while silent ones are still there.
+const LINKS: usize = 4;
+/// Ids given up that a connection remembers.
+const GIVEN_UP: usize = 4096;
+/// The part of the servers' idle time after which an idle connection is closed from here: before the peer.
+const IDLE_PART: f64 = 0.6;
+
+/// What falls due for a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// It has not come up in time.
+    Connect(ConnKey),
+    /// It has been idle for too long.
+    Idle(ConnKey),
+}
+
+/// How a job ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ending {
+    /// It was answered.
+    Answer(Answer),
+    /// No connection came up; it never left.
+    NotConnected,
+    /// The connection broke after it may have left.
+    Reset,
+}
+
+/// What the connections have to tell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Happening {
+    /// A job has ended.
+    Ended {
+        /// The job.
+        job: u64,
+        /// How.
+        ending: Ending,
+    },
+    /// A probe has ended.
+    Probed {
+        /// The server.
+        host: u32,
+        /// How.
+        ending: Ending,
+        /// Time since it was asked for.
+        elapsed: i64,
+    },
+}
+
+/// The figures that the settings give.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// A connection that is not up by then has failed, us.
+    pub connect_timeout: i64,
+    /// The servers close idle connections after this, us.
+    pub idle: i64,
+    /// Jobs that one connection carries.
+    pub streams: usize,
+    /// Connections in all.
+    pub most: usize,
+    /// Bytes that all buffers may hold.
+    pub bytes: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Job {
+    Fetch(u64),
+    Probe(u64),
+}
+
+/// Where a job is: its server, its id on the wire, and its connection once it is written.
+struct Place {
+    host: u32,
+    id: String,
+    link: Option<ConnKey>,
+}
+
+struct Host {
+    addr: SocketAddr,
+    /// Its last start, as the list tells it.
+    since: Option<i64>,
+    links: Vec<ConnKey>,
+    queue: VecDeque<Job>,
+    gone: bool,
+}
+
+struct Link {
+    host: u32,
+    up: bool,
+    /// What is open there, by the id on the wire.
+    open: HashMap<String, Job>,
+    /// Ids that were given up there: a late answer may still come, so none of them is used there again.
+    given_up: HashSet<String>,
+    reader: Reader,
+    /// Since when something waits there with nothing heard.
+    waiting: Option<i64>,
+    unheard: u32,
+    connect: Option<Handle>,
+    idle: Option<Handle>,
+}
+
+impl Link {
+    fn takes(&self, id: &str) -> bool {
+        !self.open.contains_key(id) && !self.given_up.contains(id)
+    }
+
+    fn silent(&self, now: i64) -> bool {
+        self.unheard >= UNHEARD || self.waiting.is_some_and(|since| now - since > SILENT)
+    }
+}
+
+/// The pool.
+pub struct Upstream {
+    figures: Figures,
+    hosts: BTreeMap<u32, Host>,
+    links: HashMap<ConnKey, Link>,
+    /// Where a job is.
+    jobs: HashMap<Job, Place>,
+    probes: u64,
+    probed: HashMap<u64, i64>,
+    happened: Vec<Happening>,
+}
+
+impl Upstream {
+    /// An empty pool.
+    pub fn new(figures: Figures) -> Self {
+        Upstream {
+            figures,
+            hosts: BTreeMap::new(),
+            links: HashMap::new(),
+            jobs: HashMap::new(),
+            probes: 0,
+            probed: HashMap::new(),
+            happened: Vec::new(),
+        }
+    }
+
+    /// What has happened since the last call.
+    pub fn happened(&mut self) -> Vec<Happening> {
+        std::mem::take(&mut self.happened)
+    }
+
+    /// Names a server's address. Where the address was another server's, or the server started anew, the
+    /// old connections lead to a process that is no more and are closed.
+    pub fn set_host(
+        &mut self,
+        now: i64,
+        host: u32,
+        addr: SocketAddr,
+        since: Option<i64>,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        let others: Vec<u32> =
+            self.hosts.iter().filter(|(id, h)| **id != host && h.addr == addr).map(|(id, _)| *id).collect();
+        for other in others {
+            self.close_links(now, other, Reason::Replaced, net, due);
+            if let Some(old) = self.hosts.remove(&other) {
+                old.queue.into_iter().for_each(|job| self.end(now, job, Ending::NotConnected));
+            }
+        }
+        let moved = self.hosts.get(&host).is_some_and(|known| known.addr != addr || known.since != since);
+        if moved {
+            self.close_links(now, host, Reason::Replaced, net, due);
+        }
+        let new = Host { addr, since, links: Vec::new(), queue: VecDeque::new(), gone: false };
+        let known = self.hosts.entry(host).or_insert(new);
+        (known.addr, known.since, known.gone) = (addr, since, false);
+    }
+
+    /// A server is gone: nothing is queued for it any more, and its connections are closed once they are idle.
+    pub fn remove_host(&mut self, now: i64, host: u32, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let Some(known) = self.hosts.get_mut(&host) else { return };
+        known.gone = true;
+        let (queue, links) = (std::mem::take(&mut known.queue), known.links.clone());
+        queue.into_iter().for_each(|job| self.end(now, job, Ending::NotConnected));
+        for link in links {
+            if self.links.get(&link).is_some_and(|l| l.open.is_empty()) {
+                self.drop_link(now, link, Reason::Replaced, net, due);
+            }
+        }
+    }
+
+    /// Queues a job for a server under its id on the wire; [`Upstream::dispatch`] writes it.
+    pub fn queue(&mut self, now: i64, host: u32, job: u64, id: String) {
+        self.enqueue(now, host, Job::Fetch(job), id);
+    }
+
+    /// Queues a probe.
+    pub fn probe(&mut self, now: i64, host: u32) {
+        self.probes += 1;
+        self.probed.insert(self.probes, now);
+        self.enqueue(now, host, Job::Probe(self.probes), format!("p{}", self.probes));
+    }
+
+    fn enqueue(&mut self, now: i64, host: u32, job: Job, id: String) {
+        self.jobs.insert(job, Place { host, id, link: None });
+        match self.hosts.get_mut(&host).filter(|known| !known.gone) {
+            Some(known) => known.queue.push_back(job),
+            None => self.end(now, job, Ending::NotConnected),
+        }
+    }
+
+    /// Gives a job up: it is not written, or its server is told to stop; nothing is heard of it any more.
+    pub fn give_up(&mut self, now: i64, job: u64, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let id = Job::Fetch(job);
+        let Some(Place { host, id: name, link }) = self.jobs.remove(&id) else { return };
+        let Some(key) = link else {
+            if let Some(host) = self.hosts.get_mut(&host) {
+                host.queue.retain(|queued| *queued != id);
+            }
+            return;
+        };
+        let Some(link) = self.links.get_mut(&key) else { return };
+        link.open.remove(&name);
+        link.unheard += 1;
+        let abort = lines::abort(&name);
+        if link.given_up.len() >= GIVEN_UP {
+            link.given_up.clear(); // whose answers would be late by more than any deadline
+        }
+        link.given_up.insert(name);
+        match net.write(key, [abort]) {
+            Ok(()) => self.settle(now, key, net, due),
+            Err(reason) => self.drop_link(now, key, reason, net, due),
+        }
+    }
+
+    /// Closes a server's idle connections.
+    pub fn close_idle(&mut self, now: i64, host: u32, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let links = self.hosts.get(&host).map(|known| known.links.clone()).unwrap_or_default();
+        for link in links {
+            if self.links.get(&link).is_some_and(|l| l.up && l.open.is_empty()) {
+                self.drop_link(now, link, Reason::Idle, net, due);
+            }
+        }
+    }
+
+    /// Closes everything.
+    pub fn stop(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        for key in self.links.keys().copied().collect::<Vec<_>>() {
+            self.drop_link(now, key, Reason::Stopping, net, due);
+        }
+    }
+
+    /// Writes what is queued, as far as connections take it. `word` gives a job's text at the very moment
+    /// of its writing, or `None` if it is not to be written any more.
+    pub fn dispatch<S: Schedule<Due>>(
+        &mut self,
+        now: i64,
+        net: &mut Net,
+        due: &mut S,
+        word: &mut dyn FnMut(u64, &mut S) -> Option<Fetch>,
+    ) {
+        let waiting: Vec<u32> =
+            self.hosts.iter().filter(|(_, host)| !host.queue.is_empty()).map(|(id, _)| *id).collect();
+        for host in waiting {
+            while self.dispatch_one(now, host, net, due, word) {}
+        }
+    }
+
+    fn dispatch_one<S: Schedule<Due>>(
+        &mut self,
+        now: i64,
+        host: u32,
+        net: &mut Net,
+        due: &mut S,
+        word: &mut dyn FnMut(u64, &mut S) -> Option<Fetch>,
+    ) -> bool {
+        let Some(known) = self.hosts.get_mut(&host) else { return false };
+        let Some(job) = known.queue.front().copied() else { return false };
+        let Some(Place { id, .. }) = self.jobs.get(&job) else {
+            known.queue.pop_front();
+            return true;
+        };
+        let links = || known.links.iter().filter_map(|key| Some((*key, self.links.get(key)?)));
+        let full = known.links.len() >= LINKS;
+        let fits = |link: &Link| link.up && link.open.len() < self.figures.streams && link.takes(id);
+        let sound = |link: &Link| fits(link) && (full || !link.silent(now));
+        // Only where all written bytes have left: what is written now leaves now, and nothing queues behind
+        // bytes that a drain or a purge could overtake.
+        let free = |(key, link): &(ConnKey, &Link)| sound(link) && net.unwritten(*key) == 0;
+        let best = links().filter(free).min_by_key(|(_, link)| (link.silent(now), link.open.len()));
+        let Some((key, _)) = best else {
+            let coming = links().filter(|(_, link)| !link.up).count();
+            let wanted = known.queue.len().div_ceil(self.figures.streams).min(LINKS);
+            let held = links().any(|(_, link)| sound(link));
+            if !held && coming < wanted && !full {
+                return self.connect(now, host, net, due) && coming + 1 < wanted;
+            }
+            return false;
+        };
+        known.queue.pop_front();
+        let parts = match job {
+            Job::Probe(_) => vec![lines::stats(id)],
+            Job::Fetch(number) => match word(number, due) {
+                Some(fetch) => vec![lines::fetch_head(id, &fetch), fetch.body, "\r\n".into()],
+                None => {
+                    self.jobs.remove(&job);
+                    return true;
+                }
+            },
+        };
+        if let (Some(place), Some(link)) = (self.jobs.get_mut(&job), self.links.get_mut(&key)) {
+            place.link = Some(key);
+            link.open.insert(place.id.clone(), job);
+            link.waiting.get_or_insert(now);
+            link.idle.take().into_iter().for_each(|handle| due.remove(handle));
+        }
+        if let Err(reason) = net.write(key, parts) {
+            self.drop_link(now, key, reason, net, due);
+        }
+        true
+    }
+
+    fn connect(&mut self, now: i64, host: u32, net: &mut Net, due: &mut dyn Schedule<Due>) -> bool {
+        let Some(known) = self.hosts.get_mut(&host) else { return false };
+        let room = net.count(Role::Upstream) < self.figures.most;
+        let Ok(key) =
+            (if room { net.connect(now, known.addr, Role::Upstream).map_err(drop) } else { Err(()) })
+        else {
+            self.no_link(now, host);
+            return false;
+        };
+        known.links.push(key);
+        let connect = Some(due.add(now + self.figures.connect_timeout, Due::Connect(key)));
+        let link = Link {
+            host,
+            up: false,
+            open: HashMap::new(),
+            given_up: HashSet::new(),
+            reader: Reader::default(),
+            waiting: None,
+            unheard: 0,
+            connect,
+            idle: None,
+        };
+        self.links.insert(key, link);
+        true
+    }
+
+    /// A connection failed to come up: what is queued ends unless another may still take it.
+    fn no_link(&mut self, now: i64, host: u32) {
+        let Some(known) = self.hosts.get_mut(&host) else { return };
+        let hope = |key: &ConnKey| {
+            self.links.get(key).is_some_and(|link| if link.up { !link.silent(now) } else { true })
+        };
+        if known.links.iter().any(hope) {
+            return;
+        }
+        let queue = std::mem::take(&mut known.queue);
+        queue.into_iter().for_each(|job| self.end(now, job, Ending::NotConnected));
+    }
+
+    /// A connection may be read from, or written to.
+    pub fn ready(
+        &mut self,
+        now: i64,
+        key: ConnKey,
+        read: bool,
+        write: bool,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        if !link.up {
+            match net.connected(key) {
+                Ok(false) => return,
+                Ok(true) => {
+                    link.up = true;
+                    link.connect.take().into_iter().for_each(|handle| due.remove(handle));
+                    self.settle(now, key, net, due);
+                }
+                Err(reason) => return self.drop_link(now, key, reason, net, due),
+            }
+        }
+        if write {
+            if let Err(reason) = net.flush(key) {
+                return self.drop_link(now, key, reason, net, due);
+            }
+        }
+        if read {
+            if let Err(reason) = self.read(now, key, net) {
+                return self.drop_link(now, key, reason, net, due);
+            }
+            self.settle(now, key, net, due);
+        }
+    }
+
+    fn read(&mut self, now: i64, key: ConnKey, net: &mut Net) -> Result<(), Reason> {
+        loop {
+            let got = net.read(key, INPUT);
+            let room = self.figures.bytes.saturating_sub(net.held());
+            let Some(link) = self.links.get_mut(&key) else { return Ok(()) };
+            let mut answers = Vec::new();
+            let read = net.input(key, |input| {
+                while let Some(answer) = link.reader.next(input, room)? {
+                    answers.push(answer);
+                }
+                Ok(())
+            });
+            if got.is_ok_and(|got| got.bytes > 0) {
+                (link.unheard, link.waiting) = (0, Some(now));
+            }
+            for answer in answers {
+                // An id that is not open was given up: its answer came late.
+                match self.links.get_mut(&key).and_then(|link| link.open.remove(&answer.id)) {
+                    Some(job) => self.end(now, job, Ending::Answer(answer)),
+                    None => drop(answer),
+                }
+            }
+            if let Some(Err(lines::Bad)) = read {
+                return Err(Reason::BadMessage);
+            }
+            match got? {
+                got if got.end => return Err(Reason::PeerClosed),
+                got if !got.more => return Ok(()),
+                _ => {}
+            }
+        }
+    }
+
+    /// A connection's deadline has fallen.
+    pub fn due(&mut self, now: i64, what: Due, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        match what {
+            Due::Connect(key) => {
+                if let Some(link) = self.links.get_mut(&key).filter(|link| !link.up) {
+                    link.connect = None;
+                    self.drop_link(now, key, Reason::ConnectTimeout, net, due);
+                }
+            }
+            Due::Idle(key) => {
+                if let Some(link) = self.links.get_mut(&key).filter(|link| link.open.is_empty()) {
+                    link.idle = None;
+                    self.drop_link(now, key, Reason::Idle, net, due);
+                }
+            }
+        }
+    }
+
+    /// Looks after a connection on which nothing waits any more.
+    fn settle(&mut self, now: i64, key: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let Some(link) = self.links.get_mut(&key).filter(|link| link.open.is_empty() && link.up) else {
+            return;
+        };
+        if self.hosts.get(&link.host).is_none_or(|host| host.gone) {
+            return self.drop_link(now, key, Reason::Replaced, net, due);
+        }
+        if link.silent(now) {
+            return self.drop_link(now, key, Reason::Silent, net, due);
+        }
+        link.waiting = None;
+        if link.idle.is_none() {
+            let idle = (self.figures.idle as f64 * IDLE_PART) as i64;
+            link.idle = Some(due.add(now + idle, Due::Idle(key)));
+        }
+    }
+
+    fn close_links(
+        &mut self,
+        now: i64,
+        host: u32,
+        reason: Reason,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        let links = self.hosts.get(&host).map(|known| known.links.clone()).unwrap_or_default();
+        links.into_iter().for_each(|link| self.drop_link(now, link, reason, net, due));
+    }
+
+    fn drop_link(
+        &mut self,
+        now: i64,
+        key: ConnKey,
+        reason: Reason,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        let Some(link) = self.links.remove(&key) else { return };
+        link.connect.into_iter().chain(link.idle).for_each(|handle| due.remove(handle));
+        net.close(now, key, reason);
+        if let Some(host) = self.hosts.get_mut(&link.host) {
+            host.links.retain(|known| *known != key);
+        }
+        let mut open: Vec<Job> = link.open.into_values().collect();
+        open.sort_by_key(|job| match job {
+            Job::Fetch(number) | Job::Probe(number) => *number,
+        });
+        open.into_iter().for_each(|job| self.end(now, job, Ending::Reset));
+        if !link.up {
+            self.no_link(now, link.host);
+        }
+    }
+
+    fn end(&mut self, now: i64, job: Job, ending: Ending) {
+        let Some(Place { host, .. }) = self.jobs.remove(&job) else { return };
+        self.happened.push(match job {
+            Job::Fetch(job) => Happening::Ended { job, ending },
+            Job::Probe(number) => {
+                let asked = self.probed.remove(&number).unwrap_or(now);
+                Happening::Probed { host, ending, elapsed: now - asked }
+            }
+        });
+    }
+}
