--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod events;
 pub mod settings;
+pub mod signed;
 
 use serde::Deserialize;
 use std::net::SocketAddr;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -139,7 +139,7 @@
     },
     /// Give this attempt up; nothing more is heard of it.
     Drop(AttemptKey),
-    /// The request's final answer is there: [`Core::take`] gives it out once.
+    /// The request's final answer is there: [`Core::answer_now`] tells it, [`Core::begun`] ends it.
     Answer(RequestKey),
     /// Ask a server for its health; [`Core::probed`] takes the result.
     Probe(ServerId),
@@ -268,17 +268,21 @@
         self.forget(key, due);
     }
 
-    /// Gives out a request's final answer, once; from then on it counts as begun.
-    pub fn take(&mut self, now: Micros, key: RequestKey, due: &mut dyn Schedule<Due>) -> Option<Final> {
+    /// A request's final answer as it would be given out now, if it is known. A right to it that has ended
+    /// by now turns any answer into a denial, also one whose deadline has not been looked at yet.
+    pub fn answer_now(&self, now: Micros, key: RequestKey) -> Option<Final> {
         let request = self.requests.get(key)?;
-        if matches!(request.state, State::Open) {
-            return None;
-        }
-        let denied = request.ask.expires.is_some_and(|at| at <= now);
-        match self.forget(key, due)?.state {
+        match &request.state {
             State::Open => None,
-            State::Chosen(_) if denied => Some(Final::Denied),
-            State::Chosen(answer) => Some(answer),
+            State::Chosen(_) if request.ask.expires.is_some_and(|at| at <= now) => Some(Final::Denied),
+            State::Chosen(answer) => Some(answer.clone()),
+        }
+    }
+
+    /// The answer has begun: the request is over, and nothing changes its answer any more.
+    pub fn begun(&mut self, key: RequestKey, due: &mut dyn Schedule<Due>) {
+        if self.is_answered(key) {
+            self.forget(key, due);
         }
     }
 
@@ -556,3 +560,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/core/tests.rs
@@ -0,0 +1,292 @@
+//! The core on passed-in time: one final answer for each request, one legal end for each attempt.
+
+use super::*;
+use crate::deadlines::Deadlines;
+use crate::interface::{Class, DedupScope, Effect, Limits, Notes, Rules, Siblings};
+
+const MS: Micros = 1000;
+const SECOND: Micros = 1000 * MS;
+const CACHES: [ServerId; 2] = [ServerId(1), ServerId(2)];
+const PARENT: ServerId = ServerId(8);
+
+struct Bench {
+    core: Core,
+    due: Deadlines<Due>,
+}
+
+fn class(effect: Effect) -> Class {
+    let never_kept = effect == Effect::Unsafe;
+    Class {
+        target: 500 * MS,
+        stretch: 2.0,
+        deadline: 3 * SECOND,
+        worth: 1.0,
+        effect,
+        scope: DedupScope::All,
+        window: SECOND,
+        fresh: 0,
+        grace: 0,
+        never_kept,
+    }
+}
+
+fn member(server: ServerId, kind: u16, zone: u16, state: ServerState) -> Member {
+    Member { server, up_since: None, weight: 8.0, kind, cell: 0, zone: ZoneId(zone), state }
+}
+
+impl Bench {
+    fn new() -> Self {
+        let settings = Settings {
+            routers: 1,
+            ordinal: 0,
+            zone: ZoneId(0),
+            routers_by_zone: vec![1, 0],
+            hub_by_zone: vec![ZoneId(1); 2],
+            link_kb_per_s: vec![0.0; 2],
+            pace_kb_per_s: 1000.0,
+            classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
+            parent_kind: Some(1),
+            origin_kind: 2,
+            direct: false,
+            joins: false,
+            siblings: Siblings::Location,
+            notes: Notes::All,
+            ask_discovery: false,
+            limits: Limits {
+                max_attempts: 6,
+                parallel: true,
+                cancel: true,
+                probes: true,
+                peers: false,
+                retry_after: true,
+                max_retry_after: 2 * SECOND,
+            },
+            rules: Rules {
+                cold_share: 0.2,
+                warm_after: 10 * SECOND,
+                fall_multiple: 4.0,
+                fall_span: SECOND,
+                parent_cold_share: 0.1,
+                parent_warm_after: 10 * SECOND,
+                parent_fall_multiple: 2.0,
+                purge_grace: 500 * MS,
+                purge_settles: 6 * SECOND,
+                ask_within: 0,
+            },
+        };
+        let mut bench =
+            Bench { core: Core::new(settings, 1, 0).expect("settings"), due: Deadlines::default() };
+        let mut list = vec![member(PARENT, 1, 1, ServerState::Ready)];
+        list.extend(CACHES.map(|cache| member(cache, 0, 0, ServerState::Ready)));
+        bench.core.members(0, ListKind::Full, list, &mut bench.due);
+        bench
+    }
+
+    fn ask(&mut self, now: Micros, class: u16, expires: Option<Micros>) -> RequestKey {
+        let ask = Ask {
+            class: ClassId(class),
+            object: ObjectId(7),
+            part: 0,
+            group: GroupId(3),
+            patience: 3 * SECOND,
+            expires,
+        };
+        self.core.submit(now, ask, &mut self.due)
+    }
+
+    /// Lets the deadlines up to a time fall.
+    fn pass(&mut self, until: Micros) {
+        while let Some(at) = self.due.next().filter(|at| *at <= until) {
+            while let Some(what) = self.due.pop(at) {
+                self.core.due(at, what, &mut self.due);
+            }
+        }
+    }
+
+    /// The commands, in short words, and the attempts that are to be sent.
+    fn commands(&mut self) -> (Vec<&'static str>, Vec<AttemptKey>) {
+        let (mut words, mut attempts) = (Vec::new(), Vec::new());
+        while let Some(command) = self.core.command() {
+            words.push(match command {
+                Command::Send { attempt, .. } => {
+                    attempts.push(attempt);
+                    "send"
+                }
+                Command::Drop(_) => "drop",
+                Command::Answer(_) => "answer",
+                Command::Log(_) => continue,
+                _ => "other",
+            });
+        }
+        (words, attempts)
+    }
+
+    /// Submits a request and gives its one attempt, launched.
+    fn launched(&mut self, class: u16, expires: Option<Micros>) -> (RequestKey, AttemptKey) {
+        let request = self.ask(0, class, expires);
+        let (words, attempts) = self.commands();
+        assert_eq!(words, ["send"]);
+        assert!(self.core.launch(0, attempts[0], &mut self.due).is_some());
+        (request, attempts[0])
+    }
+
+    fn end(&mut self, now: Micros, attempt: AttemptKey, result: AttemptResult) {
+        let copy = Copy { bytes: Bytes::from_static(b"bytes"), ..Copy::default() };
+        self.core.ended(now, attempt, End { copy, ..End::bare(result) }, &mut self.due);
+    }
+
+    fn take(&mut self, now: Micros, request: RequestKey) -> Option<Final> {
+        let answer = self.core.answer_now(now, request);
+        self.core.begun(request, &mut self.due);
+        answer
+    }
+}
+
+#[test]
+fn the_first_copy_is_the_answer_and_it_is_given_once() {
+    let mut bench = Bench::new();
+    let (request, attempt) = bench.launched(0, None);
+    bench.end(90 * MS, attempt, AttemptResult::Ok);
+    bench.end(91 * MS, attempt, AttemptResult::Ok);
+    assert_eq!(bench.commands().0, ["answer"]);
+    assert!(matches!(bench.take(92 * MS, request), Some(Final::Served(copy)) if &copy.bytes[..] == b"bytes"));
+    assert_eq!(bench.take(93 * MS, request), None);
+    bench.pass(10 * SECOND);
+    assert_eq!(bench.commands().0, Vec::<&str>::new(), "its deadlines are gone with it");
+}
+
+#[test]
+fn what_the_module_gives_up_on_is_answered_at_once() {
+    let mut bench = Bench::new();
+    let removed = CACHES.map(|cache| member(cache, 0, 0, ServerState::Gone)).to_vec();
+    bench.core.members(0, ListKind::Delta, removed, &mut bench.due);
+    let request = bench.ask(0, 0, None);
+    assert_eq!(bench.commands().0, ["answer"]);
+    assert_eq!(bench.take(0, request), Some(Final::Refused { pause: 250 * MS, late: false }));
+}
+
+#[test]
+fn when_patience_ends_each_request_has_its_answer() {
+    // A write that never left surely did not run and is refused; one that may have run has failed.
+    for (class, leaves, wanted) in [
+        (0, true, Final::Refused { pause: 250 * MS, late: true }),
+        (1, true, Final::Failed { late: true }),
+        (1, false, Final::Refused { pause: 250 * MS, late: true }),
+    ] {
+        let mut bench = Bench::new();
+        let request = bench.ask(0, class, None);
+        let (_, attempts) = bench.commands();
+        if leaves {
+            bench.core.launch(0, attempts[0], &mut bench.due);
+        }
+        bench.pass(3 * SECOND);
+        let (words, _) = bench.commands();
+        assert_eq!(words.iter().filter(|word| **word == "answer").count(), 1, "{words:?}");
+        assert_eq!(bench.take(3 * SECOND, request), Some(wanted), "class {class}, leaves {leaves}");
+        bench.end(3 * SECOND + 1, attempts[0], AttemptResult::Ok);
+        assert_eq!(bench.commands().0, Vec::<&str>::new(), "a late copy is no second answer");
+    }
+}
+
+#[test]
+fn a_write_that_may_have_run_never_goes_out_again() {
+    for (result, again) in [
+        (AttemptResult::Reset, false),
+        (AttemptResult::Error, false),
+        (AttemptResult::ConnectFailed, true),
+        (AttemptResult::Full, true),
+        (AttemptResult::Miss, true),
+    ] {
+        let mut bench = Bench::new();
+        let (request, attempt) = bench.launched(1, None);
+        bench.end(9 * MS, attempt, result);
+        let (words, _) = bench.commands();
+        assert_eq!(words, [if again { "send" } else { "answer" }], "{result:?}");
+        if !again {
+            assert_eq!(bench.take(9 * MS, request), Some(Final::Failed { late: false }));
+        }
+    }
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing_whatever_comes_late() {
+    let mut bench = Bench::new();
+    let (request, attempt) = bench.launched(0, None);
+    bench.core.gone(5 * MS, request, &mut bench.due);
+    assert_eq!(bench.commands().0, ["drop"]);
+    let (next, _) = bench.launched(0, None);
+    bench.end(6 * MS, attempt, AttemptResult::Ok);
+    bench.core.gone(6 * MS, request, &mut bench.due);
+    assert_eq!(bench.commands().0, Vec::<&str>::new(), "the slots' next use is not hit");
+    assert!(!bench.core.is_answered(next));
+}
+
+#[test]
+fn a_client_that_leaves_once_the_copy_is_chosen_takes_it_away() {
+    let mut bench = Bench::new();
+    let (request, attempt) = bench.launched(0, None);
+    bench.end(5 * MS, attempt, AttemptResult::Ok);
+    bench.core.gone(6 * MS, request, &mut bench.due);
+    assert_eq!(bench.take(6 * MS, request), None);
+}
+
+#[test]
+fn a_right_that_ends_mid_fill_is_denied_at_once_and_the_fill_called_off() {
+    let mut bench = Bench::new();
+    let (request, attempt) = bench.launched(0, Some(40 * MS));
+    bench.pass(40 * MS);
+    assert_eq!(bench.commands().0, ["answer", "drop"]);
+    bench.end(41 * MS, attempt, AttemptResult::Ok);
+    assert_eq!(bench.commands().0, Vec::<&str>::new());
+    assert_eq!(bench.take(41 * MS, request), Some(Final::Denied));
+}
+
+#[test]
+fn a_right_that_ends_with_a_copy_chosen_gives_no_byte_of_it() {
+    for falls in [true, false] {
+        let mut bench = Bench::new();
+        let (request, attempt) = bench.launched(0, Some(40 * MS));
+        bench.end(39 * MS, attempt, AttemptResult::Ok);
+        if falls {
+            bench.pass(40 * MS);
+        } // else the answer is asked for before the deadline is looked at
+        assert_eq!(bench.take(40 * MS, request), Some(Final::Denied));
+    }
+}
+
+#[test]
+fn what_was_queued_does_not_go_out_against_a_drain() {
+    for drained in [PARENT, CACHES[0], CACHES[1]] {
+        let mut bench = Bench::new();
+        bench.ask(0, 0, None);
+        let (_, attempts) = bench.commands();
+        let zone = if drained == PARENT { (1, 1) } else { (0, 0) };
+        let entry = member(drained, zone.0, zone.1, ServerState::Draining);
+        bench.core.members(MS, ListKind::Delta, vec![entry], &mut bench.due);
+        let order = bench.core.launch(2 * MS, attempts[0], &mut bench.due);
+        let (words, next) = bench.commands();
+        match order {
+            Some(order) => assert_ne!(order.source, Some(drained)),
+            None => {
+                assert_eq!(words, ["send"], "it is placed anew");
+                assert!(bench.core.launch(2 * MS, next[0], &mut bench.due).is_some());
+            }
+        }
+    }
+}
+
+#[test]
+fn what_was_queued_asks_for_a_copy_newer_than_a_purge_that_came_since() {
+    for (what, limit) in [
+        (Purge::Object(ObjectId(7)), 6 * MS),
+        (Purge::Group(GroupId(3)), 6 * MS),
+        (Purge::Object(ObjectId(8)), 0),
+    ] {
+        let mut bench = Bench::new();
+        bench.ask(0, 0, None);
+        let (_, attempts) = bench.commands();
+        bench.core.purge(2 * MS, what, -MS, &mut bench.due);
+        let order = bench.core.launch(5 * MS, attempts[0], &mut bench.due).expect("an order");
+        assert_eq!(order.max_age, limit, "{what:?}");
+    }
+}
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -129,6 +129,11 @@
                     }
                     self.ask(now, net, due);
                 }
+                // A full buffer that is no whole answer never becomes one.
+                Some(Ok(None)) if got.is_ok_and(|got| got.more) => {
+                    self.broke(now, Reason::Oversize, net, due);
+                    return news;
+                }
                 Some(Ok(None)) | None => {}
                 Some(Err(http::Bad)) => {
                     self.broke(now, Reason::BadMessage, net, due);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,3 +1,4 @@
 //! The fronts: each turns its wire's messages into asks and the final answers back, and decides nothing.
 
+pub mod signed;
 pub mod thrift;
--- /dev/null
+++ b/src/front/signed/gate/tests.rs
@@ -0,0 +1,176 @@
+//! Tables of links and tokens: which are let in, and why not.
+
+use super::*;
+use jsonwebtoken::Algorithm as Jose;
+
+const NOW: i64 = 1_700_000_000;
+
+fn key(name: &str, algorithm: Algorithm, issuers: &[&str]) -> Key {
+    let secret = Secret(format!("secret of the key {name}").into_bytes());
+    let issuers = issuers.iter().map(|issuer| issuer.to_string()).collect();
+    Key { name: name.into(), algorithm, checks: secret.clone(), signs: Some(secret), issuers }
+}
+
+fn gate() -> Gate {
+    let keys = vec![
+        key("u1", Algorithm::UrlSha1, &[]),
+        key("u2", Algorithm::UrlSha256, &[]),
+        key("t1", Algorithm::Hs256, &[]),
+        key("t2", Algorithm::Hs256, &["tables"]),
+    ];
+    Gate { keys, audience: vec!["edge".into()] }
+}
+
+fn check(gate: &Gate, url: &str, cookie: Option<&str>) -> String {
+    let uri = Uri::whole(url).expect("a URI");
+    match gate.check(&uri, cookie, NOW * 1_000_000) {
+        Ok(end) => format!("until {}", end / 1_000_000 - NOW),
+        Err(denial) => format!("{denial:?}"),
+    }
+}
+
+#[test]
+fn a_signed_url_has_the_published_form() {
+    // HMAC-SHA1 over the whole URL up to the signature, written in base64url with padding: RFC 2104's
+    // construction, computed apart from this program.
+    let mut gate = gate();
+    gate.keys[0].checks = Secret((0..16).collect());
+    let url = gate.sign_url("u1", "https://replays.example.org/a", NOW + 9).expect("signed");
+    let wanted = "https://replays.example.org/a?Expires=1700000009&KeyName=u1&Signature=";
+    assert_eq!(url, format!("{wanted}-pJUtsK7n3yS1gFlYeKjlO5K_as="));
+}
+
+#[test]
+fn links_are_let_in_as_the_table_says() {
+    let gate = gate();
+    let signed =
+        |key: &str, seconds| gate.sign_url(key, "https://h.example/a?x=1", NOW + seconds).expect("url");
+    let good = signed("u1", 60);
+    let cut = good.find("Signature=").expect("a signature") + "Signature=".len();
+    let cases = [
+        (good.clone(), "until 60"),
+        (good.trim_end_matches('=').to_owned(), "until 60"),
+        (signed("u2", 60), "until 60"),
+        (good.replace("/a?", "/%61?"), "until 60"),
+        ("https://h.example/a".into(), "Missing"),
+        (signed("u1", 0), "Expired"),
+        (signed("u1", -5), "Expired"),
+        (good.replace("/a?", "/b?"), "Forged(\"signature\")"),
+        (good.replace("h.example", "i.example"), "Forged(\"signature\")"),
+        (good.replace("x=1", "x=2"), "Forged(\"signature\")"),
+        (good.replace("Expires=17", "Expires=18"), "Forged(\"signature\")"),
+        (good.replace("KeyName=u1", "KeyName=u2"), "Forged(\"signature\")"),
+        (good.replace("KeyName=u1", "KeyName=t1"), "Forged(\"signature\")"),
+        (good.replace("KeyName=u1", "KeyName=zz"), "Forged(\"key\")"),
+        (good.replace("Expires=", "Expires=+"), "Forged(\"expires\")"),
+        (good.replace("Expires=", "Expires=999"), "Forged(\"expires\")"),
+        (good[..cut].to_owned(), "Forged(\"signature\")"),
+        (format!("{good}&y=1"), "Forged(\"parameters\")"),
+        ("https://h.example/a?Signature=x".into(), "Forged(\"parameters\")"),
+        (format!("{good}&URISigningPackage=x"), "Malformed(\"several credentials\")"),
+    ];
+    for (url, wanted) in cases {
+        assert_eq!(check(&gate, &url, None), wanted, "{url}");
+    }
+    assert_eq!(check(&gate, &good, Some("x")), "Malformed(\"several credentials\")");
+}
+
+fn token(kid: Option<&str>, algorithm: Jose, secret: &str, claims: Value) -> String {
+    let head = Header { kid: kid.map(str::to_owned), ..Header::new(algorithm) };
+    let secret = format!("secret of the key {secret}");
+    jsonwebtoken::encode(&head, &claims, &EncodingKey::from_secret(secret.as_bytes())).expect("a token")
+}
+
+#[test]
+fn tokens_are_let_in_as_the_table_says() {
+    let gate = gate();
+    let url = "https://h.example/a/1?x=1";
+    let hash = hash(url);
+    let with = |more: Value| {
+        let mut claims = json!({ "exp": NOW + 60, "cdniv": 1, "cdniuc": hash });
+        let more = more.as_object().expect("claims").clone();
+        claims.as_object_mut().expect("claims").extend(more);
+        claims.as_object_mut().expect("claims").retain(|_, value| !value.is_null());
+        claims
+    };
+    let cases = [
+        (json!({}), "until 60"),
+        (json!({ "exp": NOW as f64 + 0.5 }), "until 0"),
+        (json!({ "exp": NOW }), "Expired"),
+        (json!({ "exp": null }), "Forged(\"no end\")"),
+        (json!({ "exp": "soon" }), "Forged(\"claims\")"),
+        (json!({ "exp": 1e300 }), "Forged(\"claims\")"),
+        (json!({ "nbf": NOW }), "until 60"),
+        (json!({ "nbf": NOW + 1 }), "Early"),
+        (json!({ "cdniv": null }), "until 60"),
+        (json!({ "cdniv": 2 }), "Forged(\"version\")"),
+        (json!({ "iss": "tables" }), "Forged(\"issuer\")"),
+        (json!({ "aud": "edge" }), "until 60"),
+        (json!({ "aud": ["x", "edge"] }), "until 60"),
+        (json!({ "aud": "x" }), "Forged(\"audience\")"),
+        (json!({ "cdniuc": null }), "Forged(\"container\")"),
+        (json!({ "cdniuc": "hash:sha-256;AAAA" }), "Forged(\"container\")"),
+        (json!({ "cdniuc": "regex:https://h\\.example/a/[0-9]\\?x=1" }), "until 60"),
+        (json!({ "cdniuc": "regex:https://h\\.example/a/" }), "Forged(\"container\")"),
+        (json!({ "cdniuc": "regex:(" }), "Forged(\"container\")"),
+        (json!({ "cdnicrit": "exp, cdniuc" }), "until 60"),
+        (json!({ "cdnicrit": "future", "future": 1 }), "Forged(\"critical claim\")"),
+        (json!({ "cdnicrit": "nbf" }), "Forged(\"critical claim\")"),
+        (json!({ "future": 1 }), "until 60"),
+        (json!({ "cdniip": "x" }), "Forged(\"unsupported claim\")"),
+        (json!({ "jti": "x" }), "Forged(\"unsupported claim\")"),
+        (json!({ "cdnistt": 1 }), "Forged(\"unsupported claim\")"),
+    ];
+    for (more, wanted) in cases {
+        let package = token(Some("t1"), Jose::HS256, "t1", with(more.clone()));
+        assert_eq!(check(&gate, &format!("{url}&URISigningPackage={package}"), None), wanted, "{more}");
+        assert_eq!(check(&gate, url, Some(&package)), wanted, "{more} in a cookie");
+    }
+    let issued = with(json!({ "iss": "tables" }));
+    let heads = [
+        (token(Some("t2"), Jose::HS256, "t2", issued.clone()), "until 60"),
+        (token(Some("t2"), Jose::HS256, "t2", with(json!({}))), "Forged(\"issuer\")"),
+        (token(Some("t1"), Jose::HS256, "t2", with(json!({}))), "Forged(\"signature\")"),
+        (token(Some("t1"), Jose::HS384, "t1", with(json!({}))), "Forged(\"signature\")"),
+        (token(Some("u1"), Jose::HS256, "u1", with(json!({}))), "Forged(\"key\")"),
+        (token(None, Jose::HS256, "t1", with(json!({}))), "Forged(\"key\")"),
+        ("a.b.c".into(), "Forged(\"token\")"),
+        (String::new(), "Forged(\"token\")"),
+    ];
+    for (package, wanted) in heads {
+        assert_eq!(check(&gate, url, Some(&package)), wanted, "{package}");
+    }
+    let unsigned = format!("{}.e30.", URL_SAFE_NO_PAD.encode("{\"alg\":\"none\",\"kid\":\"t1\"}"));
+    assert_eq!(check(&gate, url, Some(&unsigned)), "Forged(\"signature\")");
+    let critical = format!("{}.e30.", URL_SAFE_NO_PAD.encode("{\"alg\":\"HS256\",\"crit\":[\"b64\"]}"));
+    assert_eq!(check(&gate, url, Some(&critical)), "Forged(\"critical header\")");
+}
+
+#[test]
+fn what_is_issued_is_let_in_where_it_is_bound_and_nowhere_else() {
+    let gate = gate();
+    let grant = |binding| Grant { binding, exp: NOW + 60, nbf: Some(NOW), iss: Some("tables".into()) };
+    let object = Binding::Object("https://H.example:443/a/./1".into());
+    let package = gate.sign_token("t2", &grant(object)).expect("a token");
+    assert_eq!(check(&gate, "https://h.example/a/1", Some(&package)), "until 60");
+    assert_eq!(check(&gate, "https://h.example/a/2", Some(&package)), "Forged(\"container\")");
+    let table =
+        gate.sign_token("t2", &grant(Binding::Table("https://h.example/t/1/".into()))).expect("a token");
+    for (url, wanted) in [
+        ("https://h.example/t/1/x", "until 60"),
+        ("https://h.example/t/1/../2/x", "Forged(\"container\")"),
+        ("https://h.example/t/17/x", "Forged(\"container\")"),
+    ] {
+        assert_eq!(check(&gate, url, Some(&table)), wanted, "{url}");
+    }
+    let refused = |binding| gate.sign_token("t2", &grant(binding)).is_err();
+    assert!(refused(Binding::Table("https://h.example/t/1".into())));
+    assert!(refused(Binding::Object("https://h.example/a?Expires=1".into())));
+    assert!(gate.sign_token("u1", &grant(Binding::Object("https://h.example/a".into()))).is_err());
+    assert!(gate.sign_url("t1", "https://h.example/a", NOW).is_err());
+}
+
+#[test]
+fn no_secret_is_ever_shown() {
+    assert!(!format!("{:?}", gate().keys).contains("secret of"));
+}
--- /dev/null
+++ b/src/front/signed/route.rs
@@ -0,0 +1,77 @@
+//! What a path names, by the operator's routes.
+
+use crate::config::signed::Route;
+
+/// What a path names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The route, by its place in the operator's file.
+    pub route: usize,
+    /// The object.
+    pub object: u64,
+    /// Its group.
+    pub group: u32,
+    /// Its part.
+    pub part: u32,
+}
+
+/// The first route that a path fits.
+pub fn place(routes: &[Route], path: &str) -> Option<Place> {
+    routes.iter().enumerate().find_map(|(number, route)| fit(number, route, path))
+}
+
+fn fit(number: usize, route: &Route, path: &str) -> Option<Place> {
+    let (mut forms, mut segments) = (route.path.split('/'), path.split('/'));
+    let mut place = Place { route: number, object: 0, group: route.group, part: 0 };
+    loop {
+        let (form, segment) = match (forms.next(), segments.next()) {
+            (None, None) => return Some(place),
+            (form, segment) => (form?, segment?),
+        };
+        match form {
+            "{object}" => place.object = object(segment)?,
+            "{group}" => place.group = decimal(segment)?,
+            "{part}" => place.part = decimal(segment)?,
+            _ if form == segment => {}
+            _ => return None,
+        }
+    }
+}
+
+/// One object has one path: 16 digits, in lower case.
+fn object(segment: &str) -> Option<u64> {
+    let fits = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    let whole = segment.len() == 16 && segment.bytes().all(fits);
+    u64::from_str_radix(segment, 16).ok().filter(|_| whole)
+}
+
+fn decimal(segment: &str) -> Option<u32> {
+    let number: u32 = segment.parse().ok()?;
+    (number.to_string() == segment).then_some(number)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn paths_name_what_the_routes_say() {
+        let route =
+            |path: &str, group| Route { path: path.into(), class: "c".into(), group, patience_ms: None };
+        let routes = [route("/replays/{group}/{object}/{part}", 0), route("/art/{object}", 9)];
+        let object = 0x7f3a_9c21_e0b4_d655;
+        let cases = [
+            ("/replays/17/7f3a9c21e0b4d655/3", Some(Place { route: 0, object, group: 17, part: 3 })),
+            ("/art/7f3a9c21e0b4d655", Some(Place { route: 1, object, group: 9, part: 0 })),
+            ("/art/7F3A9C21E0B4D655", None),
+            ("/art/7f3a9c21e0b4d655/", None),
+            ("/art/7f3a", None),
+            ("/replays/017/7f3a9c21e0b4d655/3", None),
+            ("/replays/17/7f3a9c21e0b4d655/4294967296", None),
+            ("/other", None),
+        ];
+        for (path, wanted) in cases {
+            assert_eq!(place(&routes, path), wanted, "{path}");
+        }
+    }
+}
--- /dev/null
+++ b/src/front/signed/uri.rs
@@ -0,0 +1,214 @@
+//! The URIs of requests, in one normal form: links are signed and checked in it, and paths are mapped from it.
+//!
+//! Escapes of unreserved characters are undone and the others written in upper case, in path and query; dot
+//! segments are removed from the path; the host is in lower case without the scheme's own port. Raw bytes
+//! outside RFC 3986, broken escapes, an escaped NUL, fragments and a parameter named twice are refused.
+
+/// What can't be a request's URI.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// A URI in normal form.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Uri {
+    /// `http` or `https`.
+    pub scheme: String,
+    /// The host, with its port if it is not the scheme's own.
+    pub host: String,
+    /// The path.
+    pub path: String,
+    /// The parameters in their order.
+    pub query: Vec<Parameter>,
+}
+
+/// A parameter of the query, as it stands there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Parameter {
+    /// Its name.
+    pub name: String,
+    /// What follows the first `=`; `None` if there is none.
+    pub value: Option<String>,
+}
+
+impl std::fmt::Display for Uri {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{}://{}{}", self.scheme, self.host, self.path)?;
+        for (i, Parameter { name, value }) in self.query.iter().enumerate() {
+            write!(f, "{}{name}", if i == 0 { '?' } else { '&' })?;
+            if let Some(value) = value {
+                write!(f, "={value}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Uri {
+    /// Reads a request's target; its own authority, if it has one, goes before the `Host` header's.
+    ///
+    /// # Errors
+    ///
+    /// What is no URI of a request.
+    pub fn parse(scheme: &str, host: Option<&str>, target: &str) -> Result<Self, Malformed> {
+        let absolute = ["http://", "https://"].iter().find_map(|start| {
+            let known = target.get(..start.len()).is_some_and(|s| s.eq_ignore_ascii_case(start));
+            known.then(|| &target[start.len()..])
+        });
+        let (host, target) = match absolute {
+            Some(rest) => {
+                let (host, target) = rest.split_at(rest.find(['/', '?', '#']).unwrap_or(rest.len()));
+                (host, if target.is_empty() { "/" } else { target })
+            }
+            None => (host.ok_or(Malformed("no host"))?, target),
+        };
+        if target.contains('#') {
+            return Err(Malformed("a fragment"));
+        }
+        let (path, query) =
+            target.split_once('?').map_or((target, None), |(path, query)| (path, Some(query)));
+        if !path.starts_with('/') {
+            return Err(Malformed("no absolute path"));
+        }
+        let mut parameters: Vec<Parameter> = Vec::new();
+        for part in query.into_iter().flat_map(|query| query.split('&')) {
+            let part = escapes(part, b"/?:@!$'()*+,;=")?;
+            let (name, value) = match part.split_once('=') {
+                Some((name, value)) => (name.to_owned(), Some(value.to_owned())),
+                None => (part, None),
+            };
+            if parameters.iter().any(|known| known.name == name) {
+                return Err(Malformed("a parameter comes twice"));
+            }
+            parameters.push(Parameter { name, value });
+        }
+        let path = without_dots(&escapes(path, b"/:@!$&'()*+,;=")?);
+        Ok(Uri { scheme: scheme.to_owned(), host: authority(scheme, host)?, path, query: parameters })
+    }
+
+    /// Reads a whole URI, as it is handed in to be signed.
+    ///
+    /// # Errors
+    ///
+    /// What is no such URI.
+    pub fn whole(text: &str) -> Result<Self, Malformed> {
+        let (scheme, _) = text.split_once("://").ok_or(Malformed("no scheme"))?;
+        let scheme = scheme.to_ascii_lowercase();
+        match scheme.as_str() {
+            "http" | "https" => Uri::parse(&scheme, None, text),
+            _ => Err(Malformed("the scheme is neither http nor https")),
+        }
+    }
+
+    /// The value of a parameter; `Some("")` where it has none.
+    pub fn parameter(&self, name: &str) -> Option<&str> {
+        let found = self.query.iter().find(|parameter| parameter.name == name)?;
+        Some(found.value.as_deref().unwrap_or(""))
+    }
+
+    /// The URI without one parameter.
+    pub fn without(&self, name: &str) -> Uri {
+        let mut uri = self.clone();
+        uri.query.retain(|parameter| parameter.name != name);
+        uri
+    }
+
+    /// The URI with one more parameter at its end.
+    pub fn with(&self, name: &str, value: &str) -> Uri {
+        let mut uri = self.clone();
+        uri.query.push(Parameter { name: name.to_owned(), value: Some(value.to_owned()) });
+        uri
+    }
+}
+
+fn authority(scheme: &str, host: &str) -> Result<String, Malformed> {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || b"-._:[]".contains(&b);
+    if host.is_empty() || !host.bytes().all(fits) {
+        return Err(Malformed("the host is none"));
+    }
+    let host = host.to_ascii_lowercase();
+    let own = if scheme == "https" { ":443" } else { ":80" };
+    Ok(host.strip_suffix(own).unwrap_or(&host).to_owned())
+}
+
+fn escapes(text: &str, others: &[u8]) -> Result<String, Malformed> {
+    let bytes = text.as_bytes();
+    let (mut out, mut at) = (String::with_capacity(bytes.len()), 0);
+    let unreserved = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+    while let Some(&b) = bytes.get(at) {
+        at += 1;
+        if b == b'%' {
+            let digits = bytes.get(at..at + 2).filter(|two| two.iter().all(u8::is_ascii_hexdigit));
+            let digits =
+                digits.and_then(|two| std::str::from_utf8(two).ok()).ok_or(Malformed("an escape"))?;
+            at += 2;
+            match u8::from_str_radix(digits, 16) {
+                Ok(0) | Err(_) => return Err(Malformed("an escape")),
+                Ok(b) if unreserved(b) => out.push(char::from(b)),
+                Ok(_) => out.extend(["%", &digits.to_ascii_uppercase()]),
+            }
+        } else if unreserved(b) || others.contains(&b) {
+            out.push(char::from(b));
+        } else {
+            return Err(Malformed("a byte that belongs in no URI"));
+        }
+    }
+    Ok(out)
+}
+
+fn without_dots(path: &str) -> String {
+    let mut kept: Vec<&str> = Vec::new();
+    let mut segments = path.split('/').skip(1).peekable();
+    while let Some(segment) = segments.next() {
+        let last = segments.peek().is_none();
+        match segment {
+            "." | ".." => {
+                if segment == ".." {
+                    kept.pop();
+                }
+                if last {
+                    kept.push("");
+                }
+            }
+            _ => kept.push(segment),
+        }
+    }
+    format!("/{}", kept.join("/"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn equal_uris_have_one_form() {
+        let cases = [
+            ("/a/b?x=1", "https://h.example/a/b?x=1"),
+            ("/a/./c/../b/", "https://h.example/a/b/"),
+            ("/../../a/..", "https://h.example/"),
+            ("/%61%2f%7e?%53ig=%c3", "https://h.example/a%2F~?Sig=%C3"),
+            ("/%2e%2e/a", "https://h.example/a"),
+            ("//a?&", "malformed: a parameter comes twice"),
+            ("//a", "https://h.example//a"),
+            ("/a?x", "https://h.example/a?x"),
+            ("HTTPS://Other.example:443/z", "https://other.example/z"),
+            ("https://h.example?x=1", "malformed: no absolute path"),
+            ("/a?x=1&%78=2", "malformed: a parameter comes twice"),
+            ("/%zz", "malformed: an escape"),
+            ("/a%0", "malformed: an escape"),
+            ("/a%00", "malformed: an escape"),
+            ("/a#b", "malformed: a fragment"),
+            ("/a\"b", "malformed: a byte that belongs in no URI"),
+            ("/\u{e9}", "malformed: a byte that belongs in no URI"),
+            ("a", "malformed: no absolute path"),
+            ("*", "malformed: no absolute path"),
+        ];
+        for (target, wanted) in cases {
+            let got = Uri::parse("https", Some("H.example:443"), target)
+                .map_or_else(|Malformed(why)| format!("malformed: {why}"), |uri| uri.to_string());
+            assert_eq!(got, wanted, "{target}");
+        }
+        for host in [None, Some(""), Some("a b"), Some("u@h")] {
+            assert!(Uri::parse("http", host, "/").is_err(), "{host:?}");
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,9 +3,12 @@
 mod logger;
 
 use clap::{Parser, Subcommand};
-use dahliatrack::config::Config;
-use dahliatrack::server::Server;
-use std::path::PathBuf;
+use dahliatrack::config::signed::Signed;
+use dahliatrack::config::{Config, ConfigError};
+use dahliatrack::front::signed::gate::{Binding, Gate, Grant, SignError};
+use dahliatrack::server::{route_classes, Server, ServerError};
+use std::fmt::Display;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// A real edge proxy for a two-tier cache.
@@ -23,6 +26,9 @@
         /// The configuration
         #[arg(long, env = "PROXY_CONFIG")]
         config: PathBuf,
+        /// The operator's file of the second front, which is off without it
+        #[arg(long, env = "PROXY_SIGNED")]
+        signed: Option<PathBuf>,
         /// The least important log lines to write
         #[arg(long, default_value = "info", value_parser = level)]
         log: log::LevelFilter,
@@ -32,11 +38,59 @@
         /// The configuration
         #[arg(long, env = "PROXY_CONFIG")]
         config: PathBuf,
+        /// The operator's file of the second front
+        #[arg(long, env = "PROXY_SIGNED")]
+        signed: Option<PathBuf>,
     },
+    /// Issue a signed URL or a token of the second front
+    #[command(subcommand)]
+    Sign(Sign),
     /// Print the version
     Version,
 }
 
+/// What signing needs in any case.
+#[derive(clap::Args)]
+struct With {
+    /// The operator's file, which names the keys
+    #[arg(long, env = "PROXY_SIGNED")]
+    signed: PathBuf,
+    /// The key's name
+    #[arg(long)]
+    key: String,
+    /// The Unix second at which it ends
+    #[arg(long)]
+    expires: i64,
+}
+
+#[derive(Subcommand)]
+enum Sign {
+    /// Sign a URL in the form Expires, KeyName, Signature
+    Url {
+        #[command(flatten)]
+        with: With,
+        /// The URL
+        url: String,
+    },
+    /// Issue a token (RFC 9246) for the parameter or the cookie URISigningPackage
+    Token {
+        #[command(flatten)]
+        with: With,
+        /// The URI of the one object that it opens
+        #[arg(long, required_unless_present = "table", conflicts_with = "table")]
+        object: Option<String>,
+        /// The URI, ending in a slash, below which it opens everything
+        #[arg(long)]
+        table: Option<String>,
+        /// The Unix second at which it begins
+        #[arg(long)]
+        not_before: Option<i64>,
+        /// Who issues it
+        #[arg(long)]
+        issuer: Option<String>,
+    },
+}
+
 fn level(word: &str) -> Result<log::LevelFilter, String> {
     word.parse().map_err(|_| "one of off, error, warn, info, debug, trace".to_owned())
 }
@@ -44,36 +98,69 @@
 /// The exit code of a configuration that cannot be used.
 const BAD_CONFIG: u8 = 2;
 
+/// Why the program ends.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error(transparent)]
+    Server(#[from] ServerError),
+    #[error(transparent)]
+    Sign(#[from] SignError),
+}
+
 fn main() -> ExitCode {
-    match Cli::parse().command {
-        Command::Serve { config, log } => serve(&config, log),
-        Command::CheckConfig { config } => match Config::read(&config) {
-            Ok(config) => {
-                println!("{}: usable; {} events known", config.name, config.known.events.len());
-                ExitCode::SUCCESS
-            }
-            Err(error) => bad(BAD_CONFIG, &error),
-        },
-        Command::Version => {
-            println!("dahliatrack {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
+    match run(Cli::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dahliatrack: {error}");
+            let config = match &error {
+                Error::Config(_) => true,
+                Error::Server(error) => error.is_config(),
+                Error::Sign(_) => false,
+            };
+            ExitCode::from(if config { BAD_CONFIG } else { 1 })
         }
     }
 }
 
-fn serve(path: &std::path::Path, level: log::LevelFilter) -> ExitCode {
-    logger::start(level);
-    let config = match Config::read(path) {
-        Ok(config) => config,
-        Err(error) => return bad(BAD_CONFIG, &error),
-    };
-    match Server::start(config).and_then(|mut server| server.run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => bad(1, &error),
+fn run(command: Command) -> Result<(), Error> {
+    match command {
+        Command::Serve { config, signed, log } => {
+            logger::start(log);
+            let (config, signed) = read(&config, &signed)?;
+            Server::start(config, signed)?.run()?;
+        }
+        Command::CheckConfig { config, signed } => {
+            let (config, signed) = read(&config, &signed)?;
+            let routes = signed.map(|signed| route_classes(&signed, &config)).transpose()?;
+            print(&format!("{}: usable, {} events known", config.name, config.known.events.len()));
+            if let Some(routes) = routes {
+                print(&format!("second front: usable, {} routes", routes.len()));
+            }
+        }
+        Command::Sign(Sign::Url { with: With { signed, key, expires }, url }) => {
+            print(&Gate::new(&Signed::read(&signed)?).sign_url(&key, &url, expires)?);
+        }
+        Command::Sign(Sign::Token { with, object, table, not_before, issuer }) => {
+            let With { signed, key, expires } = with;
+            let binding = match (object, table) {
+                (Some(object), _) => Binding::Object(object),
+                (None, table) => Binding::Table(table.unwrap_or_default()),
+            };
+            let grant = Grant { binding, exp: expires, nbf: not_before, iss: issuer };
+            print(&Gate::new(&Signed::read(&signed)?).sign_token(&key, &grant)?);
+        }
+        Command::Version => print(&format!("dahliatrack {}", env!("CARGO_PKG_VERSION"))),
     }
+    Ok(())
+}
+
+fn read(config: &Path, signed: &Option<PathBuf>) -> Result<(Config, Option<Signed>), ConfigError> {
+    let signed = signed.as_deref().map(Signed::read).transpose()?;
+    Ok((Config::read(config)?, signed))
 }
 
-fn bad(code: u8, error: &dyn std::fmt::Display) -> ExitCode {
-    eprintln!("dahliatrack: {error}");
-    ExitCode::from(code)
+fn print(line: &dyn Display) {
+    println!("{line}");
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -290,6 +290,25 @@
         self.flush(key)
     }
 
+    /// Begins to write where nothing is left to be written; `false`: the socket takes no byte now, and
+    /// nothing was kept.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn begin(&mut self, key: ConnKey, parts: impl IntoIterator<Item = Bytes>) -> Result<bool, Reason> {
+        let before = self.wrote(key);
+        self.write(key, parts)?;
+        let Some(conn) = self.conns.get_mut(key) else { return Err(Reason::PeerReset) };
+        if conn.wrote > before {
+            return Ok(true);
+        }
+        self.held = self.held.saturating_sub(conn.out_bytes);
+        conn.out.clear();
+        conn.out_bytes = 0;
+        Ok(false)
+    }
+
     /// Goes on writing.
     ///
     /// # Errors
@@ -323,6 +342,13 @@
         Ok(())
     }
 
+    /// Says to the peer that nothing more is written.
+    pub fn shutdown(&mut self, key: ConnKey) {
+        if let Some(conn) = self.conns.get(key) {
+            let _ = conn.stream.shutdown(std::net::Shutdown::Write); // one that is broken ends by itself
+        }
+    }
+
     /// Ends a connection, with its log line.
     pub fn close(&mut self, now: i64, key: ConnKey, reason: Reason) {
         let Some(mut conn) = self.conns.remove(key) else { return };
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -6,10 +6,12 @@
 
 use crate::config::events::{Batch, Numbered};
 use crate::config::settings::Names;
+use crate::config::signed::Signed;
 use crate::config::Config;
-use crate::core::{self, Ask, Command, Core, RequestKey};
+use crate::core::{self, Ask, Command, Core, Final, RequestKey};
 use crate::deadlines::{Deadlines, Schedule};
 use crate::feed::{self, Feed};
+use crate::front::signed::{self, route::Place};
 use crate::front::thrift::{self, codec::Reply};
 use crate::interface::{ClassId, ListKind, Micros, ObjectId, Purge, ServerId, ServerState};
 use crate::net::{Clock, ConnKey, Net, Ready, Reason, Role};
@@ -29,6 +31,7 @@
 /// The numbers under which the loop watches what is no connection.
 const LISTENER: usize = 0;
 const SIGNALS: usize = 1;
+const LINKS: usize = 2;
 
 /// A client counts its patience from its send; the request has been under way for about this long, us.
 const WAY: Micros = 12_000;
@@ -52,6 +55,7 @@
     Upstream(upstream::Due),
     Feed(feed::Due),
     Thrift(thrift::Due),
+    Signed(signed::Due),
     Accept,
     Stop,
 }
@@ -65,7 +69,7 @@
         })*
     };
 }
-due_from!(Core core::Due, Upstream upstream::Due, Feed feed::Due, Thrift thrift::Due);
+due_from!(Core core::Due, Upstream upstream::Due, Feed feed::Due, Thrift thrift::Due, Signed signed::Due);
 
 /// Why the edge proxy cannot start, or had to end.
 #[derive(Debug, thiserror::Error)]
@@ -81,22 +85,50 @@
         /// Why.
         error: io::Error,
     },
+    /// A route of the second front names a class that it cannot serve.
+    #[error("route {path:?}: class {class:?} is unknown or never kept")]
+    Route {
+        /// The route.
+        path: String,
+        /// The class that it names.
+        class: String,
+    },
     /// The loop itself broke.
     #[error("poll: {0}")]
     Poll(#[from] io::Error),
 }
 
+impl ServerError {
+    /// Whether a configuration is to blame.
+    pub fn is_config(&self) -> bool {
+        matches!(self, ServerError::Settings(_) | ServerError::Route { .. })
+    }
+}
+
+/// Whom a request's answer is for.
+enum Client {
+    Thrift { conn: ConnKey, seqid: i32 },
+    Signed { conn: ConnKey },
+}
+
 /// A request that is owed an answer, and what of it the core does not know.
 struct Waiting {
-    conn: ConnKey,
-    seqid: i32,
+    client: Client,
+    tags: Vec<String>,
     class: ClassId,
     trace: String,
     item: String,
-    seen: Option<String>,
     body: Bytes,
 }
 
+/// The second front, where there is one.
+struct Links {
+    listener: TcpListener,
+    front: signed::Front,
+    /// Each route's class, and how long its answers are waited for.
+    classes: Vec<(ClassId, Micros)>,
+}
+
 /// The edge proxy.
 pub struct Server {
     clock: Clock,
@@ -108,9 +140,11 @@
     upstream: Upstream,
     feed: Feed,
     thrift: thrift::Front,
+    links: Option<Links>,
+    seed: u64,
     waiting: HashMap<RequestKey, Waiting>,
     names: Names,
-    listener: Option<TcpListener>,
+    listener: TcpListener,
     signals: Signals,
     most_clients: usize,
     full: usize,
@@ -123,14 +157,14 @@
     ///
     /// # Errors
     ///
-    /// Settings that cannot be used, or an address that cannot be listened on.
-    pub fn start(config: Config) -> Result<Self, ServerError> {
+    /// Settings or routes that cannot be used, or an address that cannot be listened on.
+    pub fn start(config: Config, signed: Option<Signed>) -> Result<Self, ServerError> {
         let mut clock = Clock::default();
         let now = clock.now();
         let mut net = Net::new()?;
         let addr = config.listen;
-        let mut listener = TcpListener::bind(addr).map_err(|error| ServerError::Listen { addr, error })?;
-        net.watch(&mut listener, LISTENER)?;
+        let listener = listen(&mut net, addr, LISTENER)?;
+        let links = signed.map(|signed| Links::start(signed, &config, &mut net)).transpose()?;
         let mut signals = Signals::new([SIGTERM, SIGINT])?;
         net.watch(&mut signals, SIGNALS)?;
         let memory = config.limits.memory_mb as f64 * 1e6;
@@ -150,9 +184,11 @@
             upstream: Upstream::new(figures),
             feed: Feed::new(config.feed, config.known.n),
             thrift: thrift::Front::default(),
+            links,
+            seed: config.seed,
             waiting: HashMap::new(),
             due: Deadlines::default(),
-            listener: Some(listener),
+            listener,
             full: (memory * FULL) as usize,
             stopping: None,
             stopped: false,
@@ -165,15 +201,13 @@
         };
         server.news(config.known);
         server.feed.start(now, &mut server.net, &mut server.due);
-        info!("{} listens on {addr}", config.name);
+        info!("{} listens on {}", config.name, server.listener.local_addr()?);
+        if let Some(links) = &server.links {
+            info!("links are served on {}", links.listener.local_addr()?);
+        }
         Ok(server)
     }
 
-    /// Where clients connect, if they still may.
-    pub fn listens_on(&self) -> Option<std::net::SocketAddr> {
-        self.listener.as_ref().and_then(|listener| listener.local_addr().ok())
-    }
-
     /// Serves until a signal says to stop and all is answered.
     ///
     /// # Errors
@@ -196,6 +230,9 @@
             }
         }
         self.thrift.stop(self.now, &mut self.net, &mut self.due);
+        if let Some(links) = &mut self.links {
+            links.front.stop(self.now, &mut self.net, &mut self.due);
+        }
         self.upstream.stop(self.now, &mut self.net, &mut self.due);
         info!("stopped");
         Ok(())
@@ -203,7 +240,7 @@
 
     fn on_ready(&mut self, ready: Ready) {
         match ready {
-            Ready::Source(LISTENER) => self.accept(),
+            Ready::Source(LISTENER | LINKS) => self.accept(),
             Ready::Source(_) => {
                 if self.signals.pending().next().is_some() && self.stopping.is_none() {
                     info!("stopping");
@@ -219,6 +256,9 @@
                 } else if self.thrift.owns(key) {
                     let asks = self.thrift.ready(self.now, key, &mut self.net, &mut self.due);
                     self.asked(asks);
+                } else if self.links.as_ref().is_some_and(|links| links.front.owns(key)) {
+                    self.read_links(key);
+                    self.advance(key);
                 } else {
                     self.upstream.ready(self.now, key, read, write, &mut self.net, &mut self.due);
                 }
@@ -235,6 +275,11 @@
                 let asks = self.thrift.due(self.now, what, &mut self.net, &mut self.due);
                 self.asked(asks);
             }
+            Due::Signed(what) => {
+                let Some(links) = &mut self.links else { return };
+                let conn = links.front.due(self.now, what, &mut self.net, &mut self.due);
+                self.advance(conn);
+            }
             Due::Accept => self.accept(),
             Due::Stop => self.look_for_end(),
         }
@@ -242,7 +287,8 @@
 
     fn look_for_end(&mut self) {
         let begun = self.stopping.unwrap_or(self.now);
-        let idle = self.core.unanswered() == 0 && self.thrift.is_flushed(&self.net);
+        let flushed = self.links.as_ref().is_none_or(|links| links.front.is_flushed(&self.net));
+        let idle = self.core.unanswered() == 0 && self.thrift.is_flushed(&self.net) && flushed;
         if idle || begun + STOP_AT_LAST <= self.now {
             self.stopped = true;
         } else {
@@ -251,23 +297,32 @@
     }
 
     fn accept(&mut self) {
-        let Some(listener) = &self.listener else { return };
-        loop {
-            match self.net.accept(self.now, listener, Role::Thrift) {
-                Ok(None) => return,
-                Ok(Some(conn)) if self.net.count(Role::Thrift) > self.most_clients => {
+        for role in [Role::Thrift, Role::Signed] {
+            while let Some(conn) = self.accept_one(role) {
+                if self.net.count(Role::Thrift) + self.net.count(Role::Signed) > self.most_clients {
                     self.net.close(self.now, conn, Reason::TooMany);
-                }
-                Ok(Some(conn)) => self.thrift.open(self.now, conn, &mut self.due),
-                Err(error) => {
-                    warn!("accept: {error}");
-                    self.due.add(self.now + ACCEPT_AGAIN, Due::Accept);
-                    return;
+                } else if role == Role::Thrift {
+                    self.thrift.open(self.now, conn, &mut self.due);
+                } else if let Some(links) = &mut self.links {
+                    links.front.open(self.now, conn, &mut self.due);
                 }
             }
         }
     }
 
+    fn accept_one(&mut self, role: Role) -> Option<ConnKey> {
+        let links = self.links.as_ref().map(|links| &links.listener);
+        let listener = if role == Role::Thrift { Some(&self.listener) } else { links }?;
+        match self.net.accept(self.now, listener, role) {
+            Ok(conn) => conn,
+            Err(error) => {
+                warn!("accept: {error}");
+                self.due.add(self.now + ACCEPT_AGAIN, Due::Accept);
+                None
+            }
+        }
+    }
+
     /// Does what the core wants, and tells it what came of it, until both are quiet.
     fn pump(&mut self) {
         loop {
@@ -293,7 +348,9 @@
             let asked = waiting.get(&order.request)?;
             let class = names.classes.get(usize::from(asked.class.0))?;
             let from = order.source.and_then(|source| members.name(source));
-            Some(words::fetch(&order, class, from, &asked.item, &asked.seen, &asked.body))
+            // One tag can be passed on; several are looked through when the answer is there.
+            let seen = if let [tag] = &asked.tags[..] { Some(tag.clone()) } else { None };
+            Some(words::fetch(&order, class, from, &asked.item, seen, &asked.body))
         });
     }
 
@@ -319,14 +376,21 @@
             Command::Drop(attempt) => {
                 self.upstream.give_up(self.now, attempt.number(), &mut self.net, &mut self.due);
             }
-            Command::Answer(request) => {
-                let Some(waiting) = self.waiting.remove(&request) else { return };
-                let Some(answer) = self.core.take(self.now, request, &mut self.due) else { return };
-                let reply = words::reply(answer);
-                let (conn, seqid) = (waiting.conn, waiting.seqid);
-                let asks = self.thrift.answer(self.now, conn, seqid, reply, &mut self.net, &mut self.due);
-                self.asked(asks);
-            }
+            Command::Answer(request) => match self.waiting.get(&request).map(|waiting| &waiting.client) {
+                Some(Client::Thrift { conn, seqid }) => {
+                    let (conn, seqid) = (*conn, *seqid);
+                    let Some(answer) = self.core.answer_now(self.now, request) else { return };
+                    self.over(request);
+                    let reply = words::reply(answer);
+                    let asks = self.thrift.answer(self.now, conn, seqid, reply, &mut self.net, &mut self.due);
+                    self.asked(asks);
+                }
+                Some(Client::Signed { conn }) => {
+                    let conn = *conn;
+                    self.advance(conn);
+                }
+                None => {}
+            },
             Command::Probe(server) => self.upstream.probe(self.now, server.0),
             Command::CloseIdle(server) => {
                 self.upstream.close_idle(self.now, server.0, &mut self.net, &mut self.due);
@@ -335,6 +399,77 @@
         }
     }
 
+    /// A request's answer has begun.
+    fn over(&mut self, request: RequestKey) {
+        self.waiting.remove(&request);
+        self.core.begun(request, &mut self.due);
+    }
+
+    /// Writes what answers of a second front's connection have their turn, each as it is at its first byte.
+    fn advance(&mut self, conn: ConnKey) {
+        let now = self.now;
+        while let Some(links) = &mut self.links {
+            let Some(number) = links.front.next(now, conn, &mut self.net, &mut self.due) else { break };
+            let request = Key::from_number(number);
+            let Some(answer) = self.core.answer_now(now, request) else { break };
+            let tags = self.waiting.get(&request).map(|waiting| &waiting.tags[..]).unwrap_or_default();
+            let answer = words::answer(answer, tags, now);
+            if !links.front.begin(now, conn, answer, &mut self.net, &mut self.due) {
+                break;
+            }
+            self.over(request);
+        }
+        if self.links.as_ref().is_some_and(|links| links.front.has_more(conn)) {
+            self.read_links(conn);
+            return self.advance(conn);
+        }
+        if let Some(links) = &mut self.links {
+            links.front.finish(now, conn, &mut self.net, &mut self.due);
+            let gone = links.front.gone();
+            gone.into_iter().for_each(|number| self.gone(number));
+        }
+    }
+
+    fn read_links(&mut self, conn: ConnKey) {
+        let Some(links) = &mut self.links else { return };
+        let asks = links.front.ready(self.now, conn, &mut self.net, &mut self.due);
+        asks.into_iter().for_each(|ask| self.get(ask));
+    }
+
+    fn gone(&mut self, number: u64) {
+        let request = Key::from_number(number);
+        self.waiting.remove(&request);
+        self.core.gone(self.now, request, &mut self.due);
+    }
+
+    /// Whether there is no room for another request: refused now, it does no harm.
+    fn is_full(&self) -> bool {
+        self.net.held() > self.full || self.waiting.len() >= self.names.most_held
+    }
+
+    /// Hands in a request of the second front, which has checked its right.
+    fn get(&mut self, ask: signed::Ask) {
+        let signed::Ask::Get { conn, number, place, tags, expires } = ask;
+        let Place { route, object, group, part } = place;
+        let (full, now) = (self.is_full(), self.now);
+        let Some(links) = self.links.as_mut().filter(|links| links.front.is_open(conn, number)) else {
+            return;
+        };
+        let Some((class, patience)) = links.classes.get(route).copied() else { return };
+        if full {
+            let refused = Final::Refused { pause: self.core.pause(class), late: false };
+            return links.front.say(conn, number, words::answer(refused, &[], now));
+        }
+        let (object, group, expires) = (ObjectId(object), GroupId(group), Some(expires));
+        let ask = Ask { class, object, part, group, patience, expires };
+        let request = self.core.submit(now, ask, &mut self.due);
+        links.front.bind(conn, number, request.number());
+        // The servers know a request by an id that no other edge proxy's requests have.
+        let trace = format!("{:016x}", self.seed ^ request.number().rotate_left(32));
+        let (client, item, body) = (Client::Signed { conn }, format!("{:016x}", object.0), Bytes::new());
+        self.waiting.insert(request, Waiting { client, tags, class, trace, item, body });
+    }
+
     fn asked(&mut self, asks: Vec<thrift::Ask>) {
         for ask in asks {
             match ask {
@@ -351,11 +486,7 @@
                 thrift::Ask::Ping { conn, seqid } => {
                     self.say(conn, seqid, Reply::Pong(self.stopping.is_none()));
                 }
-                thrift::Ask::Gone(number) => {
-                    let request = Key::from_number(number);
-                    self.waiting.remove(&request);
-                    self.core.gone(self.now, request, &mut self.due);
-                }
+                thrift::Ask::Gone(number) => self.gone(number),
             }
         }
     }
@@ -368,9 +499,7 @@
     fn invoke(&mut self, conn: ConnKey, seqid: i32, form: Result<words::Form, String>, body: Bytes) {
         let refused = match &form {
             Err(text) => Some(Reply::Exception { kind: 7, text: text.clone() }),
-            Ok(form) if self.net.held() > self.full || self.waiting.len() >= self.names.most_held => {
-                Some(Reply::Refused { pause: self.core.pause(form.class) / 1000 })
-            }
+            Ok(form) if self.is_full() => Some(Reply::Refused { pause: self.core.pause(form.class) / 1000 }),
             Ok(_) => None,
         };
         let (form, reply) = match (form, refused) {
@@ -386,7 +515,8 @@
         let ask = Ask { class, object, part, group, patience, expires: None };
         let request = self.core.submit(self.now, ask, &mut self.due);
         self.thrift.bind(conn, seqid, request.number());
-        self.waiting.insert(request, Waiting { conn, seqid, class, trace, item, seen, body });
+        let (client, tags) = (Client::Thrift { conn, seqid }, Vec::from_iter(seen));
+        self.waiting.insert(request, Waiting { client, tags, class, trace, item, body });
     }
 
     /// Takes in events of the control feed, in their order.
@@ -425,3 +555,39 @@
         }
     }
 }
+
+fn listen(net: &mut Net, addr: std::net::SocketAddr, number: usize) -> Result<TcpListener, ServerError> {
+    let listener = TcpListener::bind(addr).and_then(|mut listener| {
+        net.watch(&mut listener, number)?;
+        Ok(listener)
+    });
+    listener.map_err(|error| ServerError::Listen { addr, error })
+}
+
+impl Links {
+    fn start(signed: Signed, config: &Config, net: &mut Net) -> Result<Self, ServerError> {
+        let classes = route_classes(&signed, config)?;
+        let listener = listen(net, signed.listen, LINKS)?;
+        Ok(Links { listener, classes, front: signed::Front::new(signed) })
+    }
+}
+
+/// Each route's class, and how long its answers are waited for.
+///
+/// # Errors
+///
+/// A class that is unknown, or whose requests are never kept.
+pub fn route_classes(signed: &Signed, config: &Config) -> Result<Vec<(ClassId, Micros)>, ServerError> {
+    let (names, settings) = (&config.settings.names, &config.settings.settings);
+    let class = |route: &crate::config::signed::Route| {
+        let place = names.classes.iter().position(|known| *known == route.class)?;
+        let class = settings.classes.get(place).filter(|class| !class.never_kept)?;
+        let patience = route.patience_ms.map_or(class.deadline, |ms| ms as Micros * 1000);
+        Some((ClassId(place as u16), patience))
+    };
+    let found = signed.routes.iter().map(|route| {
+        let bad = || ServerError::Route { path: route.path.clone(), class: route.class.clone() };
+        class(route).ok_or_else(bad)
+    });
+    found.collect()
+}
--- a/src/server/words.rs
+++ b/src/server/words.rs
@@ -2,6 +2,7 @@
 
 use crate::config::settings::Names;
 use crate::core::{Copy, End, Final, Order};
+use crate::front::signed::http;
 use crate::front::thrift::codec::Reply;
 use crate::interface::{AttemptResult, ClassId, GroupId, Micros, Note, ObjectId};
 use crate::upstream::lines::{Answer, Fetch};
@@ -80,7 +81,7 @@
     class: &str,
     from: Option<&str>,
     item: &str,
-    seen: &Option<String>,
+    seen: Option<String>,
     body: &Bytes,
 ) -> Fetch {
     // Whole milliseconds: an age never rounds up, and never to 0, which would mean any age.
@@ -97,7 +98,7 @@
         peek: order.only_held,
         pass: order.no_parent_copy,
         swr: order.renew,
-        seen: seen.clone(),
+        seen,
         body: body.clone(),
     }
 }
@@ -156,3 +157,28 @@
         Final::Failed { .. } | Final::Denied => Reply::Failed,
     }
 }
+
+/// A final answer as the second front's clients get it, at a Unix time in microseconds.
+pub fn answer(answer: Final, tags: &[String], now: Micros) -> http::Answer {
+    use http::Answer;
+    match answer {
+        Final::Served(copy) => {
+            let tag = Some(copy.tag).filter(|tag| !tag.is_empty());
+            let held = copy.same || tag.as_ref().is_some_and(|tag| tags.contains(tag));
+            let born = Micros::try_from(copy.born).ok().filter(|born| *born > 0);
+            let age = born.map(|born| (now / 1000 - born).max(0) / 1000);
+            Answer { body: copy.bytes, tag, age, ..Answer::bare(if held { 304 } else { 200 }) }
+        }
+        Final::Refused { late: true, .. } | Final::Failed { late: true } => Answer::bare(504),
+        Final::Refused { pause, .. } => {
+            // Whole seconds, rounded up: a client that keeps to them is never early.
+            let seconds = (pause + 999_999) / 1_000_000;
+            Answer { retry_after: Some(seconds).filter(|seconds| *seconds > 0), ..Answer::bare(503) }
+        }
+        Final::Failed { late: false } => Answer::bare(502),
+        Final::Denied => Answer::bare(403),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/server/words/tests.rs
@@ -0,0 +1,107 @@
+//! Tables of what one part's words mean in another's.
+
+use super::*;
+use crate::core::Copy;
+
+fn names() -> Names {
+    Names { classes: vec!["replay".into(), "piece".into()], ..Names::default() }
+}
+
+fn fields(changes: &[(&str, Option<&str>)]) -> BTreeMap<String, String> {
+    let good = [
+        ("route", "piece"),
+        ("trace", "9b1f03aa5c7e2d41"),
+        ("patience", "1500"),
+        ("entity", "7f3a9c21e0b4d655"),
+        ("slice", "3"),
+        ("set", "17"),
+        ("unknown", "ignored"),
+    ];
+    let mut all: BTreeMap<String, String> = good.map(|(name, value)| (name.into(), value.into())).into();
+    for (name, value) in changes {
+        match value {
+            Some(value) => all.insert((*name).into(), (*value).into()),
+            None => all.remove(*name),
+        };
+    }
+    all
+}
+
+#[test]
+fn a_requests_fields_are_read_as_the_table_says() {
+    let read = form(&fields(&[]), &names()).expect("a form");
+    assert_eq!((read.class, read.object, read.part), (ClassId(1), ObjectId(0x7f3a_9c21_e0b4_d655), 3));
+    assert_eq!((read.group, read.patience, read.seen), (GroupId(17), 1_500_000, None));
+    let bare =
+        form(&fields(&[("slice", None), ("set", None), ("seen", Some("t"))]), &names()).expect("a form");
+    assert_eq!((bare.part, bare.group, bare.seen.as_deref()), (0, GroupId(0), Some("t")));
+    for (name, value) in [
+        ("route", None),
+        ("route", Some("other")),
+        ("trace", None),
+        ("trace", Some("9b1f03aa5c7e2d4 ")),
+        ("entity", Some("7f3a")),
+        ("entity", Some("+f3a9c21e0b4d655")),
+        ("entity", Some("7f3a9c21e0b4d65\r")),
+        ("patience", None),
+        ("patience", Some("0")),
+        ("patience", Some("-5")),
+        ("patience", Some("99999999999999999999")),
+        ("slice", Some("-1")),
+        ("set", Some("x")),
+    ] {
+        let error = form(&fields(&[(name, value)]), &names()).expect_err("no form");
+        assert!(error.contains(name), "{name} {value:?}: {error}");
+    }
+}
+
+#[test]
+fn each_ending_proves_what_the_table_says() {
+    use AttemptResult::*;
+    let answer = |word: &str, dropped| {
+        let fields = vec![("tell".into(), "cut_off".into()), ("waited".into(), "12.5".into())];
+        Ending::Answer(Answer { id: "1".into(), word: word.into(), fields, body: Bytes::new(), dropped })
+    };
+    for (ending, result) in [
+        (Ending::NotConnected, ConnectFailed),
+        (Ending::Reset, Reset),
+        (answer("200", false), Ok),
+        (answer("304", false), Ok),
+        (answer("200", true), Error),
+        (answer("404", false), Miss),
+        (answer("503", false), Full),
+        (answer("504", false), Moot),
+        (answer("500", false), Error),
+        (answer("whatever", false), Error),
+    ] {
+        let told = matches!(ending, Ending::Answer(_));
+        let end = end(ending, &[]);
+        assert_eq!(end.result, result);
+        assert_eq!((end.note, end.waited), if told { (Some(Note::SourceLost), 12_500) } else { (None, 0) });
+    }
+}
+
+#[test]
+fn each_final_answer_has_its_status() {
+    let copy = |same| Copy { bytes: Bytes::from_static(b"x"), tag: "a".into(), born: 1000, same };
+    let now = 3_500_000;
+    for (given, tags, status, retry_after) in [
+        (Final::Served(copy(false)), &["b"][..], 200, None),
+        (Final::Served(copy(false)), &["b", "a"], 304, None),
+        (Final::Served(copy(true)), &["a"], 304, None),
+        (Final::Refused { pause: 250_000, late: false }, &[], 503, Some(1)),
+        (Final::Refused { pause: 1_000_001, late: false }, &[], 503, Some(2)),
+        (Final::Refused { pause: 0, late: false }, &[], 503, None),
+        (Final::Refused { pause: 250_000, late: true }, &[], 504, None),
+        (Final::Failed { late: true }, &[], 504, None),
+        (Final::Failed { late: false }, &[], 502, None),
+        (Final::Denied, &["a"], 403, None),
+    ] {
+        let tags: Vec<String> = tags.iter().map(|tag| tag.to_string()).collect();
+        let served = matches!(given, Final::Served(_));
+        let said = answer(given.clone(), &tags, now);
+        assert_eq!((said.status, said.retry_after), (status, retry_after), "{given:?}");
+        assert_eq!(said.age, served.then_some(2), "{given:?}");
+        assert_eq!(said.tag.is_some() || !said.body.is_empty(), served, "{given:?}");
+    }
+}
--- a/src/upstream/lines.rs
+++ b/src/upstream/lines.rs
@@ -5,8 +5,8 @@
 
 /// The longest line of an answer.
 const LONGEST_LINE: usize = 4096;
-/// The most bytes that an answer may carry: an object of the protocol, with room.
-const MOST_BYTES: usize = 1 << 20;
+/// The most bytes that an answer may carry: an object of the protocol has 240,000.
+pub const MOST_BYTES: usize = 1 << 18;
 
 /// A request as it is written.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -11,6 +11,8 @@
 
 /// Bytes of answers that are taken in at a time.
 const INPUT: usize = 1 << 19;
+/// A whole answer must fit, or its connection would be read for ever without coming further.
+const _: () = assert!(INPUT >= 2 * lines::MOST_BYTES);
 /// A connection on which this many jobs in a row were given up unanswered is not to be trusted.
 const UNHEARD: u32 = 3;
 /// A connection on which jobs wait and nothing was heard for this long is silent, us.
--- /dev/null
+++ b/tests/sockets/links.rs
@@ -0,0 +1,319 @@
+//! The second front: signed URLs and tokens, each request with exactly one right final answer.
+
+use crate::stand_ins::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const OBJECT: &str = "7f3a9c21e0b4d655";
+const OPERATOR: &str = r#"
+listen = "127.0.0.1:0"
+scheme = "https"
+hosts = ["replays.example.org"]
+head_timeout_ms = 300
+[[key]]
+name = "links"
+algorithm = "url-hmac-sha1"
+secret_file = "links.secret"
+[[key]]
+name = "tables"
+algorithm = "HS256"
+secret_file = "tables.secret"
+issuers = ["games"]
+[[route]]
+path = "/replays/{group}/{object}/{part}"
+class = "replay"
+[[route]]
+path = "/short/{object}"
+class = "replay"
+patience_ms = 50
+"#;
+
+struct Site {
+    cache: Cache,
+    _parent: Cache,
+    _proxy: Proxy,
+    addr: SocketAddr,
+    file: PathBuf,
+}
+
+fn site(name: &str) -> Site {
+    let folder = folder(name);
+    let file = folder.join("signed.toml");
+    std::fs::write(&file, OPERATOR).expect("a file");
+    std::fs::write(folder.join("links.secret"), "AAECAwQFBgcICQoLDA0ODw==\n").expect("a file");
+    std::fs::write(folder.join("tables.secret"), "Dw4NDAsKCQgHBgUEAwIBAA\n").expect("a file");
+    let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+    let more = ["--signed", file.to_str().expect("a path")];
+    let proxy = Proxy::start(name, &[&cache, &parent], str::to_owned, &more);
+    let addr = proxy.logged("links are served on ").parse().expect("an address");
+    Site { cache, _parent: parent, _proxy: proxy, addr, file }
+}
+
+fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_secs()
+}
+
+/// Waits for a second of the clock, on which the links' ends are counted.
+fn wait_for(second: u64) {
+    while now() < second {
+        std::thread::yield_now();
+    }
+}
+
+impl Site {
+    /// What the command line issues.
+    fn sign(&self, arguments: &[&str]) -> String {
+        let program = env!("CARGO_BIN_EXE_dahliatrack");
+        let output =
+            Command::new(program).arg("sign").args(arguments).arg("--signed").arg(&self.file).output();
+        let output = output.expect("runs");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+        String::from_utf8(output.stdout).expect("text").trim().to_owned()
+    }
+
+    /// A signed path that ends at a second.
+    fn path(&self, path: &str, expires: u64) -> String {
+        let url = format!("https://replays.example.org{path}");
+        let signed = self.sign(&["url", "--key", "links", "--expires", &expires.to_string(), &url]);
+        signed.strip_prefix("https://replays.example.org").expect("the host").to_owned()
+    }
+
+    fn replay(&self, part: u32, expires: u64) -> String {
+        self.path(&format!("/replays/17/{OBJECT}/{part}"), expires)
+    }
+
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.addr).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        Client(stream)
+    }
+}
+
+struct Client(TcpStream);
+
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    head: String,
+    body: Vec<u8>,
+}
+
+impl Client {
+    fn send(&mut self, method: &str, path: &str, more: &str) {
+        let text = format!("{method} {path} HTTP/1.1\r\nHost: replays.example.org\r\n{more}\r\n");
+        self.0.write_all(text.as_bytes()).expect("written");
+    }
+
+    fn get(&mut self, path: &str) {
+        self.send("GET", path, "");
+    }
+
+    fn head(&mut self) -> (u16, String) {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.0.read_exact(&mut byte).expect("a head");
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8(head).expect("text");
+        (head[9..12].parse().expect("a status"), head)
+    }
+
+    fn answer(&mut self) -> Answer {
+        let (status, head) = self.head();
+        let length = field(&head, "Content-Length").map_or(0, |length| length.parse().expect("a length"));
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).expect("a body");
+        Answer { status, head, body }
+    }
+
+    /// The rest until the edge proxy closes.
+    fn rest(&mut self) -> Vec<u8> {
+        let mut rest = Vec::new();
+        self.0.read_to_end(&mut rest).expect("an end");
+        rest
+    }
+}
+
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+}
+
+#[test]
+fn valid_forged_expired_and_missing_links_each_have_one_answer() {
+    let site = site("links");
+    let mut client = site.client();
+    let good = site.replay(3, now() + 60);
+    client.get(&good);
+    let mut got = site.cache.next();
+    assert_eq!((got.field("item"), got.field("chunk")), (Some(OBJECT), Some("3")));
+    got.answer("200", "ver=a1,born=5", b"a game");
+    let served = client.answer();
+    assert_eq!((served.status, &served.body[..]), (200, &b"a game"[..]));
+    assert_eq!(field(&served.head, "ETag"), Some("\"a1\""));
+    for (path, status, what) in [
+        (good.replace("/17/", "/18/"), 403, "for another group"),
+        (good.replace("Expires=1", "Expires=2"), 403, "with a longer life"),
+        (site.replay(3, now() - 1), 403, "expired"),
+        (format!("/replays/17/{OBJECT}/3"), 403, "without a credential"),
+        (format!("{good}&URISigningPackage=x"), 400, "with two credentials"),
+        (good.replace('?', "?Expires=1&"), 400, "with a parameter twice"),
+        (site.path("/elsewhere", now() + 60), 404, "to no route"),
+    ] {
+        let mut client = site.client();
+        client.get(&path);
+        assert_eq!(client.answer().status, status, "{what}");
+    }
+    assert_eq!(site.cache.rest(), Vec::<String>::new(), "no attempt for any of these");
+}
+
+#[test]
+fn tokens_are_issued_for_one_object_or_one_table() {
+    let site = site("tokens");
+    let end = (now() + 60).to_string();
+    let issue = |bound: &str, url: &str| {
+        let url = format!("https://replays.example.org{url}");
+        site.sign(&["token", "--key", "tables", "--issuer", "games", "--expires", &end, bound, &url])
+    };
+    let (path, other) = (format!("/replays/17/{OBJECT}/3"), format!("/replays/18/{OBJECT}/3"));
+    for token in [issue("--object", &path), issue("--table", "/replays/17/")] {
+        let mut client = site.client();
+        client.get(&format!("{path}?URISigningPackage={token}"));
+        site.cache.next().answer("200", "ver=a1", b"a game");
+        assert_eq!(client.answer().status, 200);
+        client.send("GET", &path, &format!("Cookie: URISigningPackage={token}\r\n"));
+        site.cache.next().answer("200", "ver=a1", b"a game");
+        assert_eq!(client.answer().status, 200);
+        client.get(&format!("{other}?URISigningPackage={token}"));
+        assert_eq!(client.answer().status, 403);
+        client.get(&format!("{path}?URISigningPackage={token}A"));
+        assert_eq!(client.answer().status, 403);
+    }
+    assert_eq!(site.cache.rest(), Vec::<String>::new());
+}
+
+#[test]
+fn a_link_that_ends_mid_fill_is_denied_at_once_and_the_fill_called_off() {
+    let site = site("mid-fill");
+    let mut client = site.client();
+    client.get(&site.replay(3, now() + 2));
+    let mut got = site.cache.next();
+    assert_eq!(client.answer().status, 403, "while the fill is still out");
+    assert_eq!(site.cache.next().words[0], "abort");
+    got.answer("200", "ver=a1", b"too late");
+    client.get(&site.replay(4, now() + 60));
+    site.cache.next().answer("200", "ver=a1", b"next");
+    assert_eq!(client.answer().body, b"next", "and the late copy is nobody's answer");
+}
+
+#[test]
+fn a_link_that_ends_once_a_copy_is_chosen_gives_no_byte_of_it() {
+    let site = site("chosen");
+    let mut client = site.client();
+    let end = now() + 2;
+    client.get(&site.replay(1, now() + 60));
+    let mut first = site.cache.next();
+    // Its copy is there, but its turn is behind the first.
+    client.get(&site.replay(2, end));
+    site.cache.next().answer("200", "ver=b2", b"leaked");
+    client.get(&site.replay(3, now() + 60));
+    let mut third = site.cache.next();
+    wait_for(end);
+    first.answer("200", "ver=b1", b"first");
+    third.answer("200", "ver=b3", b"third");
+    let answers = [client.answer(), client.answer(), client.answer()];
+    let said = answers.map(|answer| (answer.status, answer.body));
+    assert_eq!(said, [(200, b"first".to_vec()), (403, vec![]), (200, b"third".to_vec())]);
+    assert_eq!(site.cache.rest(), Vec::<String>::new());
+}
+
+#[test]
+fn a_body_that_has_begun_runs_on_past_the_links_end() {
+    let site = site("begun");
+    let mut client = site.client();
+    let end = now() + 2;
+    let body = vec![7; 240_000];
+    client.get(&site.replay(1, end));
+    site.cache.next().answer("200", "ver=a", &body);
+    let (status, _) = client.head();
+    wait_for(end);
+    let mut rest = vec![0; body.len()];
+    client.0.read_exact(&mut rest).expect("the body");
+    assert_eq!((status, rest == body), (200, true));
+}
+
+#[test]
+fn a_client_that_leaves_calls_its_fill_off() {
+    let site = site("gone");
+    let mut client = site.client();
+    client.get(&site.replay(1, now() + 60));
+    let trace = site.cache.next().words[1].clone();
+    drop(client);
+    assert_eq!(site.cache.next().words, ["abort", &trace]);
+}
+
+#[test]
+fn a_head_has_no_body_and_a_copy_that_holds_is_not_sent_again() {
+    let site = site("head");
+    let mut client = site.client();
+    client.send("HEAD", &site.replay(1, now() + 60), "");
+    site.cache.next().answer("200", "ver=a", b"12345");
+    let (status, head) = client.head();
+    assert_eq!((status, field(&head, "Content-Length")), (200, Some("5")));
+    client.send("GET", &site.replay(1, now() + 60), "If-None-Match: \"a\"\r\n");
+    let mut got = site.cache.next();
+    assert_eq!(got.field("seen"), Some("a"));
+    got.answer("304", "ver=a", b"");
+    let same = client.answer();
+    assert_eq!((same.status, field(&same.head, "ETag")), (304, Some("\"a\"")));
+    client.send("GET", &site.replay(1, now() + 60), "If-None-Match: \"z\", \"a\"\r\n");
+    site.cache.next().answer("200", "ver=a", b"12345");
+    assert_eq!(client.answer().status, 304, "of several tags the answer's is found here");
+}
+
+#[test]
+fn outcomes_have_their_status() {
+    let site = site("status");
+    let mut client = site.client();
+    // Each attempt errs; the module may ask again before it gives up.
+    client.get(&site.replay(1, now() + 60));
+    let mut failed = site.cache.next();
+    failed.answer("503", "tell=turned_away", b"");
+    let answer = std::thread::scope(|scope| {
+        let rest = scope.spawn(|| client.answer());
+        while !rest.is_finished() {
+            if let Some(mut again) = site.cache.try_next().filter(|again| again.words[0] == "fetch") {
+                again.answer("503", "tell=turned_away", b"");
+            }
+        }
+        rest.join().expect("an answer")
+    });
+    assert_eq!((answer.status, field(&answer.head, "Retry-After")), (503, Some("2")), "1.5 s, rounded up");
+    client.get(&site.path(&format!("/short/{OBJECT}"), now() + 60));
+    assert_eq!(client.answer().status, 504, "out of time");
+    client.send("POST", &site.replay(1, now() + 60), "");
+    assert_eq!(client.answer().status, 405);
+    let mut other = site.client();
+    let path = site.replay(1, now() + 60);
+    other.0.write_all(format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").as_bytes()).expect("written");
+    assert_eq!(other.answer().status, 421);
+    for (text, status) in [
+        ("GET / HTTP/1.1\r\n\r\n".to_owned(), 400),
+        ("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx".to_owned(), 400),
+        (format!("GET /{} HTTP/1.1\r\n", "x".repeat(20_000)), 431),
+        ("GET / HTTP/1.1\r\nHost".to_owned(), 408),
+    ] {
+        let mut client = site.client();
+        client.0.write_all(text.as_bytes()).expect("written");
+        assert_eq!(client.answer().status, status);
+        assert!(client.rest().is_empty(), "and the connection ends");
+    }
+    let mut many = site.client();
+    (0..40).for_each(|part| many.get(&format!("/replays/17/{OBJECT}/{part}")));
+    (0..40)
+        .for_each(|_| assert_eq!(many.answer().status, 403, "more than are open at a time are read in turn"));
+    assert!(site.client().rest().is_empty(), "a connection that says nothing ends without an answer");
+}
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,5 @@
+//! The program on real sockets: one test for each rule, with clients and servers written here.
+
+mod links;
+mod platform;
+mod stand_ins;
--- /dev/null
+++ b/tests/sockets/platform.rs
@@ -0,0 +1,365 @@
+//! The platform's front.
+
+use crate::stand_ins::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::process::Command;
+
+struct Client(TcpStream);
+
+#[derive(Debug, PartialEq)]
+enum Reply {
+    Served { body: Vec<u8>, current: bool },
+    Refused { pause: bool },
+    Failed,
+    Exception,
+    Pong(bool),
+}
+
+fn text(text: &str) -> Vec<u8> {
+    [&(text.len() as i32).to_be_bytes()[..], text.as_bytes()].concat()
+}
+
+fn message(kind: u8, name: &str, seqid: i32, arguments: &[u8]) -> Vec<u8> {
+    let head = [&[0x80, 1, 0, kind][..], &text(name), &seqid.to_be_bytes(), arguments, &[0]].concat();
+    [&(head.len() as i32).to_be_bytes()[..], &head].concat()
+}
+
+fn invoke(seqid: i32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut map = [&[13, 0, 1, 11, 11][..], &(fields.len() as i32).to_be_bytes()].concat();
+    fields.iter().for_each(|(name, value)| map.extend([text(name), text(value)].concat()));
+    map.extend([&[11, 0, 2][..], &(body.len() as i32).to_be_bytes(), body].concat());
+    message(1, "invoke", seqid, &map)
+}
+
+fn trace(seqid: i32) -> String {
+    format!("{:016x}", 0x1b1f_0000 + seqid)
+}
+
+fn request(seqid: i32, route: &str) -> Vec<u8> {
+    let (trace, patience) = (trace(seqid), "4000");
+    let fields = [
+        ("route", route),
+        ("trace", &trace),
+        ("patience", patience),
+        ("entity", "7f3a9c21e0b4d655"),
+        ("slice", "0"),
+        ("set", "17"),
+        ("of a later version", "x"),
+    ];
+    invoke(seqid, &fields, if route == "result" { b"won" } else { b"" })
+}
+
+impl Client {
+    fn new(proxy: &Proxy) -> Self {
+        Client(proxy.connect(proxy.addr))
+    }
+
+    fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).expect("written");
+    }
+
+    fn take<const N: usize>(&mut self) -> [u8; N] {
+        let mut bytes = [0; N];
+        self.0.read_exact(&mut bytes).expect("bytes");
+        bytes
+    }
+
+    fn reply(&mut self) -> (i32, Reply) {
+        let mut frame = vec![0; i32::from_be_bytes(self.take()) as usize];
+        self.0.read_exact(&mut frame).expect("a frame");
+        let name = i32::from_be_bytes(frame[4..8].try_into().expect("4 bytes")) as usize;
+        let (kind, rest) = (frame[3], &frame[8 + name..]);
+        let seqid = i32::from_be_bytes(rest[..4].try_into().expect("4 bytes"));
+        let rest = &rest[4..];
+        let has = |word: &[u8]| rest.windows(word.len()).any(|part| part == word);
+        let reply = match (kind, &rest[..3]) {
+            (3, _) => Reply::Exception,
+            (_, [12, 0, 0]) if &frame[8..8 + name] == b"ping" => Reply::Pong(rest[rest.len() - 3] == 1),
+            (_, [12, 0, 0]) => {
+                let length = i32::from_be_bytes(rest[6..10].try_into().expect("4 bytes")) as usize;
+                Reply::Served { body: rest[10..10 + length].to_vec(), current: has(b"current\0\0\0\x011") }
+            }
+            (_, [12, 0, 1]) => Reply::Refused { pause: has(b"pause") },
+            (_, [12, 0, 2]) => Reply::Failed,
+            other => panic!("no reply: {other:?}"),
+        };
+        (seqid, reply)
+    }
+
+    fn ping(&mut self, seqid: i32) -> bool {
+        self.send(&message(1, "ping", seqid, &[2, 0, 1, 0]));
+        self.reply() == (seqid, Reply::Pong(true))
+    }
+
+    fn is_closed(&mut self) -> bool {
+        let mut rest = Vec::new();
+        matches!(self.0.read_to_end(&mut rest), Ok(0) | Err(_))
+    }
+}
+
+fn served(body: &[u8]) -> Reply {
+    Reply::Served { body: body.to_vec(), current: false }
+}
+
+fn same(settings: &str) -> String {
+    settings.to_owned()
+}
+
+fn pair(name: &str) -> (Cache, Cache, Cache, Proxy) {
+    let (one, two, parent) = (Cache::new("s-00000001"), Cache::new("s-00000002"), Cache::new("s-0000000p"));
+    let proxy = Proxy::start(name, &[&one, &two, &parent], same, &[]);
+    (one, two, parent, proxy)
+}
+
+fn single(name: &str) -> (Cache, Cache, Proxy) {
+    let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+    let proxy = Proxy::start(name, &[&cache, &parent], same, &[]);
+    (cache, parent, proxy)
+}
+
+#[test]
+fn a_read_is_passed_on_and_its_bytes_come_back_unchanged() {
+    let (cache, _parent, proxy) = single("read");
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "replay"));
+    let mut got = cache.next();
+    assert_eq!(got.words[1], trace(1));
+    let fields = ["cls", "item", "chunk", "from"].map(|name| got.field(name).expect("a field").to_owned());
+    assert_eq!(fields, ["replay", "7f3a9c21e0b4d655", "0", "s-0000000p"]);
+    let body: Vec<u8> = (0..240_000).map(|i| (i % 251) as u8).collect();
+    got.answer("200", "ver=a1,born=5,tell=local,meter=rif:3", &body);
+    assert_eq!(client.reply(), (1, served(&body)));
+}
+
+#[test]
+fn answers_come_in_any_order_and_a_copy_that_holds_has_no_bytes() {
+    let (cache, _parent, proxy) = single("order");
+    let mut client = Client::new(&proxy);
+    client.send(&[request(1, "replay"), request(2, "replay")].concat());
+    let (mut one, mut two) = (cache.next(), cache.next());
+    two.answer("304", "ver=a1,born=5", b"");
+    assert_eq!(client.reply(), (2, Reply::Served { body: vec![], current: true }));
+    one.answer("200", "ver=a1", b"x");
+    assert_eq!(client.reply(), (1, served(b"x")));
+}
+
+#[test]
+fn a_write_whose_connection_breaks_has_failed_and_goes_out_once() {
+    let (one, two, _parent, proxy) = pair("write");
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "result"));
+    let mut got = any(&one, &two);
+    assert_eq!(got.body, b"won");
+    got.reset();
+    assert_eq!(client.reply(), (1, Reply::Failed));
+    assert!(client.ping(2), "and the edge proxy goes on");
+    assert_eq!(one.rest().len() + two.rest().len(), 0);
+}
+
+#[test]
+fn a_read_whose_answer_breaks_off_is_asked_for_elsewhere() {
+    let (one, two, _parent, proxy) = pair("break");
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "replay"));
+    let mut first = any(&one, &two);
+    first.half(&[1; 1000]);
+    any(&one, &two).answer("200", "ver=b", b"whole");
+    assert_eq!(client.reply(), (1, served(b"whole")), "and no byte of the broken one");
+}
+
+fn any(one: &Cache, two: &Cache) -> Got {
+    loop {
+        if let Some(got) = one.try_next().or_else(|| two.try_next()) {
+            return got;
+        }
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn a_refused_connection_proves_that_a_write_never_ran() {
+    let parent = Cache::new("s-0000000p");
+    let closed = Cache { addr: "127.0.0.1:1".parse().expect("an address"), ..Cache::new("s-00000001") };
+    let proxy = Proxy::start("refused", &[&closed, &parent], same, &[]);
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "result"));
+    assert_eq!(client.reply(), (1, Reply::Refused { pause: true }));
+}
+
+#[test]
+fn an_abort_stops_the_fill_and_its_late_answer_goes_nowhere() {
+    let (cache, _parent, proxy) = single("abort");
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "replay"));
+    let mut got = cache.next();
+    client.send(&message(4, "abort", 2, &[&[8, 0, 1][..], &1i32.to_be_bytes()].concat()));
+    assert_eq!(cache.next().words, ["abort", &trace(1)]);
+    got.answer("200", "ver=a", b"late");
+    client.send(&request(3, "replay"));
+    cache.next().answer("200", "ver=a", b"x");
+    assert_eq!(client.reply(), (3, served(b"x")));
+}
+
+#[test]
+fn a_client_that_closes_gives_up_what_it_asked_for() {
+    let (cache, _parent, proxy) = single("close");
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "replay"));
+    let _got = cache.next();
+    drop(client);
+    assert_eq!(cache.next().words, ["abort", &trace(1)]);
+    assert!(proxy.logged("end=").starts_with("peer-closed"));
+}
+
+#[test]
+fn nothing_new_goes_to_a_cache_that_drains() {
+    let (one, two, _parent, proxy) = pair("drain");
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "replay"));
+    let mut first = any(&one, &two);
+    let (drained, other) = if first.by == one.name { (&one, &two) } else { (&two, &one) };
+    proxy.feed.tell(&members(false, &[host(drained, "draining")]));
+    proxy.logged("is Draining");
+    first.answer("200", "ver=a", b"x");
+    assert_eq!(client.reply(), (1, served(b"x")), "what it has is finished");
+    for seqid in 2..6 {
+        client.send(&request(seqid, "replay"));
+        other.next().answer("200", "ver=a", b"y");
+        assert_eq!(client.reply(), (seqid, served(b"y")));
+    }
+    assert_eq!(drained.rest(), Vec::<String>::new());
+}
+
+#[test]
+fn after_a_purge_only_newer_copies_are_asked_for() {
+    let (cache, _parent, proxy) = single("purge");
+    let mut client = Client::new(&proxy);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time");
+    let at = now.as_millis() - 1500;
+    proxy.feed.tell(&format!(r#""purge":{{"group":17,"at":{at}}}"#));
+    // The next event is told after it, so once that is logged the purge has been taken in.
+    proxy.feed.tell(&members(false, &[host(&cache, "up")]));
+    proxy.logged("event 3: ");
+    client.send(&request(1, "replay"));
+    let got = cache.next();
+    let oldest: u128 = got.field("oldest").expect("a limit").parse().expect("a number");
+    let since = now.as_millis() - at;
+    assert!((since..since + LONG.as_millis()).contains(&oldest), "{oldest}");
+}
+
+#[test]
+fn a_reused_address_closes_the_old_servers_connections() {
+    let (cache, _parent, proxy) = single("reuse");
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "result"));
+    let _got = cache.next();
+    let heir = Cache { addr: cache.addr, ..Cache::new("s-00000009") };
+    proxy.feed.tell(&members(false, &[host(&heir, "up")]));
+    cache.ended();
+    assert_eq!(client.reply(), (1, Reply::Failed), "it may have run at the old one");
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_cache_would() {
+    let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+    let short = |settings: &str| settings.replace("\"conn_idle\": 15000.0", "\"conn_idle\": 100.0");
+    let proxy = Proxy::start("idle", &[&cache, &parent], short, &[]);
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "replay"));
+    cache.next().answer("200", "ver=a", b"x");
+    assert_eq!(client.reply(), (1, served(b"x")));
+    cache.ended();
+    assert!(proxy.logged("end=").starts_with("idle"));
+}
+
+#[test]
+fn more_than_32_open_are_refused_at_once() {
+    let (cache, _parent, proxy) = single("many");
+    let mut client = Client::new(&proxy);
+    for seqid in 1..=33 {
+        client.send(&request(seqid, "result"));
+    }
+    let mut open: Vec<Got> = (1..=32).map(|_| cache.next()).collect();
+    assert_eq!(client.reply(), (33, Reply::Refused { pause: true }));
+    open[4].answer("200", "ver=a", b"ran");
+    assert_eq!(client.reply(), (5, served(b"ran")));
+    assert_eq!(cache.rest(), Vec::<String>::new());
+}
+
+#[test]
+fn hostile_bytes_have_a_defined_end() {
+    let (_cache, _parent, proxy) = single("hostile");
+    let bad_text =
+        invoke(5, &[("route", "x")], b"").iter().map(|b| if *b == b'x' { 0xff } else { *b }).collect();
+    let wild = message(1, "invoke", 5, &[14, 0, 9, 3, 0x7f, 0xff, 0xff, 0xff]);
+    let deep = message(1, "ping", 5, &[12, 0, 1].repeat(400));
+    let answered: [(Vec<u8>, &str); 8] = [
+        (message(1, "nonsense", 5, &[]), "an unknown method"),
+        (bad_text, "bad UTF-8"),
+        (invoke(5, &[("route", "x")], b""), "fields that are missing"),
+        (message(1, "invoke", 5, &[]), "no arguments"),
+        (wild, "a count beyond the frame"),
+        (deep, "endless nesting"),
+        (message(1, "invoke", 5, &[8, 0, 1, 0, 0, 0, 1]), "a field of another type"),
+        (message(4, "abort", 5, &[]), "an abort of nothing"),
+    ];
+    for (bytes, what) in answered {
+        let mut client = Client::new(&proxy);
+        client.send(&bytes);
+        assert_eq!(client.reply(), (5, Reply::Exception), "{what}");
+        assert!(client.ping(6), "{what}");
+    }
+    let closed: [(Vec<u8>, &str); 6] = [
+        ((-1i32).to_be_bytes().to_vec(), "bad-message"),
+        (i32::MAX.to_be_bytes().to_vec(), "oversize"),
+        (vec![0, 0, 0, 4, 1, 2, 3, 4], "bad-message"),
+        (vec![0, 0, 0, 0], "bad-message"),
+        ([&[0, 0, 0, 8, 0x80, 1, 0, 1][..], &i32::MAX.to_be_bytes()].concat(), "bad-message"),
+        ([request(7, "replay"), request(7, "replay")].concat(), "duplicate-seqid"),
+    ];
+    for (bytes, code) in closed {
+        let mut client = Client::new(&proxy);
+        client.send(&bytes);
+        assert!(client.is_closed(), "{code}");
+        let end = proxy.logged("role=Thrift");
+        assert!(end.contains(&format!("end={code} ")) || end.contains("end=peer-closed"), "{code}: {end}");
+    }
+    assert!(Client::new(&proxy).ping(1));
+}
+
+#[test]
+fn sigterm_lets_what_is_open_and_what_still_comes_be_answered() {
+    let (cache, _parent, mut proxy) = single("term");
+    let mut old = Client::new(&proxy);
+    old.send(&request(1, "replay"));
+    let mut open = cache.next();
+    let pid = proxy.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+    proxy.logged("stopping");
+    let mut new = Client::new(&proxy);
+    new.send(&request(2, "replay"));
+    cache.next().answer("200", "ver=a", b"new");
+    assert_eq!(new.reply(), (2, served(b"new")));
+    open.answer("200", "ver=a", b"old");
+    assert_eq!(old.reply(), (1, served(b"old")));
+    assert!(proxy.child.wait().expect("an end").success());
+}
+
+#[test]
+fn a_bad_configuration_ends_with_one_line_and_code_2() {
+    let folder = folder("bad-config");
+    for (text, wanted) in
+        [("{", "EOF"), ("{\"name\":1}", "name"), ("{\"name\":\"n\",\"listen\":\"nowhere\"}", "listen")]
+    {
+        let path = folder.join("config.json");
+        std::fs::write(&path, text).expect("a file");
+        for command in ["serve", "check-config"] {
+            let program = env!("CARGO_BIN_EXE_dahliatrack");
+            let output = Command::new(program).args([command, "--config"]).arg(&path).output().expect("runs");
+            let error = String::from_utf8(output.stderr).expect("text");
+            assert_eq!((output.status.code(), error.lines().count()), (Some(2), 1), "{error}");
+            assert!(error.contains(wanted), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/sockets/stand_ins.rs
@@ -0,0 +1,262 @@
+//! What the edge proxy talks to, in a few lines each: table caches, the control feed, and its process.
+//! All ports are the system's choice; nothing waits for a time to pass.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Longer than anything takes that a test waits for: past it the test has failed.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// A line that a table cache was sent, and the connection to answer it on.
+pub struct Got {
+    pub by: &'static str,
+    pub words: Vec<String>,
+    pub body: Vec<u8>,
+    stream: TcpStream,
+}
+
+impl Got {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let pairs = self.words[2].split(',').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(known, _)| *known == name).map(|(_, value)| value).next()
+    }
+
+    /// Answers it, if the edge proxy still listens.
+    pub fn answer(&mut self, word: &str, fields: &str, body: &[u8]) {
+        let head = format!("{} {word} {fields} {}\r\n", self.words[1], body.len());
+        let _ = self.stream.write_all(&[head.as_bytes(), body, b"\r\n"].concat());
+    }
+
+    /// Answers the head and half of the bytes, and breaks off.
+    pub fn half(&mut self, body: &[u8]) {
+        let head = format!("{} 200 ver=a {}\r\n", self.words[1], body.len());
+        let _ = self.stream.write_all(&[head.as_bytes(), &body[..body.len() / 2]].concat());
+        self.reset();
+    }
+
+    pub fn reset(&mut self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+/// A table cache, parent or origin: it passes on what it is sent, and answers what the test says.
+pub struct Cache {
+    pub name: &'static str,
+    pub addr: SocketAddr,
+    pub lines: Receiver<Got>,
+    pub ends: Receiver<()>,
+}
+
+impl Cache {
+    pub fn new(name: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (sender, lines) = channel();
+        let (ended, ends) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (sender, ended) = (sender.clone(), ended.clone());
+                thread::spawn(move || {
+                    let _ = pass_on(name, stream, &sender);
+                    let _ = ended.send(());
+                });
+            }
+        });
+        Cache { name, addr, lines, ends }
+    }
+
+    pub fn next(&self) -> Got {
+        self.lines.recv_timeout(LONG).unwrap_or_else(|_| panic!("{} was sent nothing", self.name))
+    }
+
+    /// What it was sent next, if anything was yet.
+    pub fn try_next(&self) -> Option<Got> {
+        self.lines.try_recv().ok()
+    }
+
+    /// Waits until one of its connections has ended.
+    pub fn ended(&self) {
+        self.ends.recv_timeout(LONG).expect("a connection ends");
+    }
+
+    /// What it was sent and nobody looked at.
+    pub fn rest(&self) -> Vec<String> {
+        self.lines.try_iter().map(|got| got.words.join(" ")).collect()
+    }
+}
+
+fn pass_on(by: &'static str, stream: TcpStream, sender: &Sender<Got>) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Ok(());
+        }
+        let words: Vec<String> = line.trim_end().split(' ').map(str::to_owned).collect();
+        let mut body = Vec::new();
+        if words[0] == "fetch" {
+            let length: usize = words[3].parse().expect("a length");
+            body = vec![0; length + 2];
+            reader.read_exact(&mut body)?;
+            assert_eq!(body.split_off(length), b"\r\n");
+        }
+        let _ = sender.send(Got { by, words, body, stream: stream.try_clone()? });
+    }
+}
+
+/// The control feed: its events, told to whoever asks.
+#[derive(Clone, Default)]
+pub struct Feed(Arc<(Mutex<Vec<String>>, Condvar)>);
+
+impl Feed {
+    pub fn tell(&self, event: &str) {
+        let mut events = self.0 .0.lock().expect("a lock");
+        let n = events.len() + 1;
+        events.push(format!("{{\"n\":{n},{event}}}"));
+        self.0 .1.notify_all();
+    }
+
+    fn batch(&self, after: usize) -> String {
+        let events = self.0 .0.lock().expect("a lock");
+        format!("{{\"n\":{},\"events\":[{}]}}", events.len(), events[after..].join(","))
+    }
+
+    fn serve(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let feed = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let feed = feed.clone();
+                thread::spawn(move || feed.poll(stream));
+            }
+        });
+        addr
+    }
+
+    fn poll(&self, mut stream: TcpStream) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        loop {
+            let mut head = String::new();
+            while !head.ends_with("\r\n\r\n") {
+                if reader.read_line(&mut head).ok()? == 0 {
+                    return None;
+                }
+            }
+            let after: usize = head.strip_prefix("GET /v1/events?SUB=")?.split('&').next()?.parse().ok()?;
+            let events = self.0 .0.lock().ok()?;
+            drop(self.0 .1.wait_while(events, |events| events.len() <= after).ok()?);
+            let batch = self.batch(after);
+            let length = batch.len();
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{batch}").ok()?;
+        }
+    }
+}
+
+pub fn host(cache: &Cache, health: &str) -> String {
+    let class = match cache.name {
+        "s-0000000p" => "parent",
+        _ => "small",
+    };
+    let site = if class == "parent" { "north" } else { "edge-1" };
+    format!(
+        r#"{{"host":"{}","dial":"{}","site":"{site}","class":"{class}","block":0,"health":"{health}","share":100}}"#,
+        cache.name, cache.addr
+    )
+}
+
+pub fn members(whole: bool, hosts: &[String]) -> String {
+    format!(r#""members":{{"seq":1,"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
+}
+
+const SETTINGS: &str = r#"{"balancers": 1, "discovery": "automatic",
+ "domain": {"class_grace": [0.0, 0.0], "collapses": false, "count_by_zone": [0, 1], "fresh_for": [0.0, 0.0],
+  "goes_through": [false, true], "hub_by_zone": [0, 0], "lateral": "location", "pace_kb_per_s": 8000.0,
+  "parent_cold": 19000.0, "parent_floor": 0.1, "pipe_kb_per_s": [0.0, 0.0], "purge_grace": 500.0,
+  "purge_settles": 6000.0, "root_kind": 2, "second_tier_kind": 1, "straight": true, "tells": "all",
+  "upper_fall_multiple": 2.0},
+ "failure_domains": ["north", "edge-1"], "skus": ["small", "parent", "origin"],
+ "grades": [{"aim_stretch": 2.0, "deadline": 6000.0, "dedup_scope": "all", "effect": "pure",
+  "name": "replay", "target": 5000.0, "window": 5000.0, "points": 1.0},
+  {"deadline": 6000.0, "dedup_scope": "all", "effect": "side_effect", "name": "result", "target": 5000.0,
+  "window": 5000.0, "points": 3.0}],
+ "limits": {"cancel": true, "conn_idle": 15000.0, "connect_timeout": 400.0, "max_attempts": 6,
+  "max_retry_after": 1500.0, "may_probe": true, "parallel_tries": true, "peer_messages": false,
+  "retry_after": true, "streams_per_conn": 100},
+ "my_zone": 1, "ordinal": 0, "report": {"how": "piggyback", "names": ["rif"]},
+ "rules": {"ask_within": 10000.0, "cold_share": 0.3, "fall_multiple": 3.0, "overload_for": 1000.0,
+  "warm_after": 18000.0}}"#;
+
+/// The edge proxy's process.
+pub struct Proxy {
+    pub child: Child,
+    pub addr: SocketAddr,
+    pub feed: Feed,
+    log: Receiver<String>,
+}
+
+/// A folder of a test's own.
+pub fn folder(name: &str) -> std::path::PathBuf {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+impl Proxy {
+    /// Starts one that knows these caches; `change` is applied to the settings' text.
+    pub fn start(name: &str, caches: &[&Cache], change: impl Fn(&str) -> String, more: &[&str]) -> Self {
+        let feed = Feed::default();
+        let hosts: Vec<String> = caches.iter().map(|cache| host(cache, "up")).collect();
+        feed.tell(&members(true, &hosts));
+        let config = format!(
+            r#"{{"name":"{name}","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+               "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"feed":"{}","known":{},"settings":{}}}"#,
+            feed.serve(),
+            feed.batch(0),
+            change(SETTINGS)
+        );
+        let path = folder(name).join("config.json");
+        std::fs::write(&path, config).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_dahliatrack"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .args(more)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let (sender, log) = channel();
+        let lines = BufReader::new(child.stderr.take().expect("piped"));
+        thread::spawn(move || lines.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        let mut proxy = Proxy { child, addr: "127.0.0.1:0".parse().expect("an address"), feed, log };
+        proxy.addr = proxy.logged("listens on ").parse().expect("an address");
+        proxy
+    }
+
+    /// Waits for a log line that holds these words; gives what follows them.
+    pub fn logged(&self, words: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).unwrap_or_else(|_| panic!("no log line with {words:?}"));
+            if let Some((_, rest)) = line.split_once(words) {
+                return rest.to_owned();
+            }
+        }
+    }
+
+    pub fn connect(&self, addr: SocketAddr) -> TcpStream {
+        let stream = TcpStream::connect(addr).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
