Let never-kept classes learn their own sending time: writes are no longer refused for crowding

At fault: logic.rs learn(): only answers that were not filled counted for the class's mean, and all answers of a never-kept class are filled; the mean stayed at the target, 700 ms, and crowded() refused at (there + 1) / link > 1. Conclusion: the own time is elapsed less the source's wait.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -551,8 +551,10 @@
             }
         }
         let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
-        if o.result == Ok && request.size_kb <= 0.0 && !filled {
-            smooth(&mut self.mean[usize::from(request.class.0)], o.elapsed as f64);
+        // What is never kept is always filled: its own time is what its source did not take.
+        let own = if self.class(request).never_kept { o.elapsed - o.waited } else { o.elapsed };
+        if o.result == Ok && request.size_kb <= 0.0 && (!filled || self.class(request).never_kept) {
+            smooth(&mut self.mean[usize::from(request.class.0)], own.max(0) as f64);
         }
         if let Some(to) = self.servers.get_mut(&attempt.server) {
             match o.result {
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -877,3 +877,40 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn a_class_that_is_never_kept_learns_its_own_time_and_is_not_held_for_a_crowd() {
+    // Its answers are all filled; when none of them counted, its first guess, a whole target, stayed for
+    // good, and writes of a few milliseconds were refused at any cache that had work for its link.
+    let mut told = settings();
+    told.classes[0].never_kept = true;
+    let mut list = fleet();
+    list.iter_mut().for_each(|member| member.weight = 4.0);
+    let mut bench = Bench::new(told, list);
+    let ask = |bench: &mut Bench, object| {
+        bench.next += 1;
+        let request = Request { size_kb: 0.0, ..request(bench.next, object) };
+        bench.event(Event::Request(request))
+    };
+    for object in 0..60 {
+        bench.now += 100 * MS;
+        let get = get_of(&ask(&mut bench, object)).expect("an attempt");
+        let outcome = Outcome {
+            request: get.request,
+            attempt: 0,
+            server: get.server,
+            result: AttemptResult::Ok,
+            note: Some(Note::FilledByOrigin),
+            elapsed: 100 * MS,
+            waited: 90 * MS,
+            finished: true,
+            load: vec![],
+        };
+        bench.event(Event::Outcome(outcome));
+    }
+    bench.now += SECOND;
+    for out in 0..10 {
+        let actions = ask(&mut bench, 7);
+        assert!(get_of(&actions).is_some(), "refused with {out} out at one cache: {actions:?}");
+    }
+}
