Make the test of the never-kept mean fail without its fix

Seen: with links of 4 the crowd bound was not met by ten attempts, so the test passed on the old module as well. Checked: with links of 2 it fails on the old logic.rs and passes on the new.

--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -885,7 +885,7 @@
     let mut told = settings();
     told.classes[0].never_kept = true;
     let mut list = fleet();
-    list.iter_mut().for_each(|member| member.weight = 4.0);
+    list.iter_mut().for_each(|member| member.weight = 2.0);
     let mut bench = Bench::new(told, list);
     let ask = |bench: &mut Bench, object| {
         bench.next += 1;
