Count bodies and waiting copies in the byte budget; document the program; test silence and ES256

Seen by reading: copies that wait for their turn and bodies of open requests were in no budget, an emptied buffer kept up to 512 KB, and a short answer's slice kept its whole buffer. At fault: net/mod.rs input(), upstream/lines.rs next(), server/mod.rs is_full().

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -188,6 +188,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     commands: VecDeque<Command>,
+    /// Bytes of copies whose answers have not begun.
+    held: usize,
 }
 
 impl Core {
@@ -207,6 +209,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             commands: VecDeque::new(),
+            held: 0,
         })
     }
 
@@ -215,7 +218,12 @@
         self.commands.pop_front()
     }
 
-    /// Requests whose answer has not been taken.
+    /// Bytes of copies whose answers have not begun.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Requests whose answer has not begun.
     pub fn unanswered(&self) -> usize {
         self.requests.len()
     }
@@ -389,7 +397,8 @@
             Due::Expiry(key) => {
                 let Some(request) = self.requests.get_mut(key) else { return };
                 let open = matches!(request.state, State::Open);
-                request.state = State::Chosen(Final::Denied);
+                let old = std::mem::replace(&mut request.state, State::Chosen(Final::Denied));
+                self.held -= bytes(&old);
                 self.commands.push_back(Command::Answer(key));
                 if open {
                     self.close(now, key, due);
@@ -444,6 +453,7 @@
     fn forget(&mut self, key: RequestKey, due: &mut dyn Schedule<Due>) -> Option<Request> {
         let request = self.requests.remove(key)?;
         request.patience.into_iter().chain(request.expiry).for_each(|handle| due.remove(handle));
+        self.held -= bytes(&request.state);
         Some(request)
     }
 
@@ -454,6 +464,7 @@
             return false;
         }
         request.state = State::Chosen(answer);
+        self.held += bytes(&request.state);
         self.commands.push_back(Command::Answer(key));
         true
     }
@@ -561,5 +572,13 @@
     }
 }
 
+/// The bytes that a state holds.
+fn bytes(state: &State) -> usize {
+    match state {
+        State::Chosen(Final::Served(copy)) => copy.bytes.len(),
+        _ => 0,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -247,10 +247,12 @@
         let mut bench = Bench::new();
         let (request, attempt) = bench.launched(0, Some(40 * MS));
         bench.end(39 * MS, attempt, AttemptResult::Ok);
+        assert_eq!(bench.core.held(), 5);
         if falls {
             bench.pass(40 * MS);
         } // else the answer is asked for before the deadline is looked at
         assert_eq!(bench.take(40 * MS, request), Some(Final::Denied));
+        assert_eq!(bench.core.held(), 0, "its bytes are let go");
     }
 }
 
--- a/src/front/signed/gate/tests.rs
+++ b/src/front/signed/gate/tests.rs
@@ -174,3 +174,30 @@
 fn no_secret_is_ever_shown() {
     assert!(!format!("{:?}", gate().keys).contains("secret of"));
 }
+
+#[test]
+fn an_es256_key_checks_by_its_public_half_and_signs_only_with_the_private() {
+    use p256::pkcs8::{EncodePrivateKey, EncodePublicKey, LineEnding};
+    let private = p256::SecretKey::from_slice(&[7; 32]).expect("a key");
+    let public = private.public_key().to_public_key_pem(LineEnding::LF).expect("PEM").into_bytes();
+    let private = private.to_pkcs8_pem(LineEnding::LF).expect("PEM").as_bytes().to_vec();
+    let key = |signs: Option<Vec<u8>>| Key {
+        name: "e1".into(),
+        algorithm: Algorithm::Es256,
+        checks: Secret(public.clone()),
+        signs: signs.map(Secret),
+        issuers: vec![],
+    };
+    let whole = Gate { keys: vec![key(Some(private))], audience: vec![] };
+    let checks = Gate { keys: vec![key(None)], audience: vec![] };
+    let url = "https://h.example/a";
+    let grant = Grant { binding: Binding::Object(url.into()), exp: NOW + 60, nbf: None, iss: None };
+    let package = whole.sign_token("e1", &grant).expect("a token");
+    assert_eq!(check(&checks, url, Some(&package)), "until 60");
+    assert!(checks.sign_token("e1", &grant).is_err());
+    // The public half is no secret: a token that takes it for one is not genuine.
+    let claims = json!({ "exp": NOW + 60, "cdniuc": hash(url) });
+    let head = Header { kid: Some("e1".into()), ..Header::new(Jose::HS256) };
+    let forged = jsonwebtoken::encode(&head, &claims, &EncodingKey::from_secret(&public)).expect("a token");
+    assert_eq!(check(&checks, url, Some(&forged)), "Forged(\"signature\")");
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -262,6 +262,9 @@
         let before = conn.input.len();
         let result = with(&mut conn.input);
         self.held = (self.held + conn.input.len()).saturating_sub(before);
+        if conn.input.is_empty() {
+            conn.input = BytesMut::new(); // an idle connection keeps no memory
+        }
         Some(result)
     }
 
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -143,6 +143,8 @@
     links: Option<Links>,
     seed: u64,
     waiting: HashMap<RequestKey, Waiting>,
+    /// Bytes of the bodies that these requests brought.
+    bodies: usize,
     names: Names,
     listener: TcpListener,
     signals: Signals,
@@ -187,6 +189,7 @@
             links,
             seed: config.seed,
             waiting: HashMap::new(),
+            bodies: 0,
             due: Deadlines::default(),
             listener,
             full: (memory * FULL) as usize,
@@ -260,6 +263,7 @@
                     self.read_links(key);
                     self.advance(key);
                 } else {
+                    self.upstream.held_elsewhere(self.core.held() + self.bodies);
                     self.upstream.ready(self.now, key, read, write, &mut self.net, &mut self.due);
                 }
             }
@@ -401,7 +405,7 @@
 
     /// A request's answer has begun.
     fn over(&mut self, request: RequestKey) {
-        self.waiting.remove(&request);
+        self.forget(request);
         self.core.begun(request, &mut self.due);
     }
 
@@ -438,13 +442,25 @@
 
     fn gone(&mut self, number: u64) {
         let request = Key::from_number(number);
-        self.waiting.remove(&request);
+        self.forget(request);
         self.core.gone(self.now, request, &mut self.due);
     }
 
+    fn wait(&mut self, request: RequestKey, waiting: Waiting) {
+        self.bodies += waiting.body.len();
+        self.waiting.insert(request, waiting);
+    }
+
+    fn forget(&mut self, request: RequestKey) {
+        if let Some(waiting) = self.waiting.remove(&request) {
+            self.bodies -= waiting.body.len();
+        }
+    }
+
     /// Whether there is no room for another request: refused now, it does no harm.
     fn is_full(&self) -> bool {
-        self.net.held() > self.full || self.waiting.len() >= self.names.most_held
+        let held = self.net.held() + self.core.held() + self.bodies;
+        held > self.full || self.waiting.len() >= self.names.most_held
     }
 
     /// Hands in a request of the second front, which has checked its right.
@@ -467,7 +483,7 @@
         // The servers know a request by an id that no other edge proxy's requests have.
         let trace = format!("{:016x}", self.seed ^ request.number().rotate_left(32));
         let (client, item, body) = (Client::Signed { conn }, format!("{:016x}", object.0), Bytes::new());
-        self.waiting.insert(request, Waiting { client, tags, class, trace, item, body });
+        self.wait(request, Waiting { client, tags, class, trace, item, body });
     }
 
     fn asked(&mut self, asks: Vec<thrift::Ask>) {
@@ -516,7 +532,9 @@
         let request = self.core.submit(self.now, ask, &mut self.due);
         self.thrift.bind(conn, seqid, request.number());
         let (client, tags) = (Client::Thrift { conn, seqid }, Vec::from_iter(seen));
-        self.waiting.insert(request, Waiting { client, tags, class, trace, item, body });
+        // A copy: a slice would keep the whole buffer that the frame came in.
+        let body = Bytes::copy_from_slice(&body);
+        self.wait(request, Waiting { client, tags, class, trace, item, body });
     }
 
     /// Takes in events of the control feed, in their order.
--- a/src/upstream/lines.rs
+++ b/src/upstream/lines.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 /// The longest line of an answer.
-const LONGEST_LINE: usize = 4096;
+pub const LONGEST_LINE: usize = 4096;
 /// The most bytes that an answer may carry: an object of the protocol has 240,000.
 pub const MOST_BYTES: usize = 1 << 18;
 
@@ -126,11 +126,19 @@
     skip: usize,
 }
 
+/// A shorter answer is copied out of the buffer: a slice would keep all of it.
+const SHORT: usize = 16 * 1024;
+
 /// The peer does not speak the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bad;
 
 impl Reader {
+    /// Bytes that the answer under way takes in the buffer; 0 if that is not known yet.
+    pub fn wanted(&self) -> usize {
+        self.head.as_ref().filter(|_| self.skip == 0).map_or(0, |(_, length)| length + 2)
+    }
+
     /// The next whole answer of what has come. An answer longer than `room` bytes is let go as it comes.
     ///
     /// # Errors
@@ -151,7 +159,14 @@
                 if input.len() < length + 2 {
                     return Ok(None);
                 }
-                let body = input.split_to(*length).freeze();
+                let body = match *length {
+                    short if short < SHORT => {
+                        let body = Bytes::copy_from_slice(&input[..short]);
+                        input.advance(short);
+                        body
+                    }
+                    long => input.split_to(long).freeze(),
+                };
                 if input.split_to(2)[..] != b"\r\n"[..] {
                     return Err(Bad);
                 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -9,10 +9,10 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
-/// Bytes of answers that are taken in at a time.
-const INPUT: usize = 1 << 19;
-/// A whole answer must fit, or its connection would be read for ever without coming further.
-const _: () = assert!(INPUT >= 2 * lines::MOST_BYTES);
+/// Bytes that are taken in at a time, besides those of the answer under way.
+const INPUT: usize = 64 * 1024;
+/// A whole line must fit, or its connection would be read for ever without coming further.
+const _: () = assert!(INPUT > 2 * lines::LONGEST_LINE);
 /// A connection on which this many jobs in a row were given up unanswered is not to be trusted.
 const UNHEARD: u32 = 3;
 /// A connection on which jobs wait and nothing was heard for this long is silent, us.
@@ -137,9 +137,15 @@
     probes: u64,
     probed: HashMap<u64, i64>,
     happened: Vec<Happening>,
+    elsewhere: usize,
 }
 
 impl Upstream {
+    /// Tells how many bytes of the budget are held by others than connections.
+    pub fn held_elsewhere(&mut self, bytes: usize) {
+        self.elsewhere = bytes;
+    }
+
     /// An empty pool.
     pub fn new(figures: Figures) -> Self {
         Upstream {
@@ -150,6 +156,7 @@
             probes: 0,
             probed: HashMap::new(),
             happened: Vec::new(),
+            elsewhere: 0,
         }
     }
 
@@ -406,8 +413,9 @@
 
     fn read(&mut self, now: i64, key: ConnKey, net: &mut Net) -> Result<(), Reason> {
         loop {
-            let got = net.read(key, INPUT);
-            let room = self.figures.bytes.saturating_sub(net.held());
+            let wanted = self.links.get(&key).map_or(0, |link| link.reader.wanted());
+            let got = net.read(key, wanted + INPUT);
+            let room = self.figures.bytes.saturating_sub(net.held() + self.elsewhere);
             let Some(link) = self.links.get_mut(&key) else { return Ok(()) };
             let mut answers = Vec::new();
             let read = net.input(key, |input| {
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -273,6 +273,23 @@
     assert!(proxy.logged("end=").starts_with("idle"));
 }
 
+#[test]
+fn a_silent_connection_gets_no_new_work() {
+    let (cache, _parent, proxy) = single("silent");
+    let mut client = Client::new(&proxy);
+    for seqid in 1..=3 {
+        client.send(&request(seqid, "replay"));
+        let _unanswered = cache.next();
+        client.send(&message(4, "abort", 100 + seqid, &[&[8, 0, 1][..], &seqid.to_be_bytes()].concat()));
+        assert_eq!(cache.next().words[0], "abort");
+    }
+    cache.ended();
+    assert!(proxy.logged("end=").starts_with("silent"));
+    client.send(&request(4, "replay"));
+    cache.next().answer("200", "ver=a", b"x");
+    assert_eq!(client.reply(), (4, served(b"x")), "by a new one");
+}
+
 #[test]
 fn more_than_32_open_are_refused_at_once() {
     let (cache, _parent, proxy) = single("many");
