Answer exceptions under the called name, and none to a one-way abort

Seen in review: an exception to ping said invoke, and a malformed abort, which is one-way, was answered. At fault: front/thrift/codec.rs reply() and call(). A malformed abort now ends its connection as bad-message.

--- a/src/front/thrift/codec.rs
+++ b/src/front/thrift/codec.rs
@@ -22,6 +22,8 @@
 pub struct Call {
     /// The sequence number.
     pub seqid: i32,
+    /// The name under which it is called, and answered.
+    pub name: String,
     /// What is called.
     pub method: Method,
 }
@@ -41,7 +43,7 @@
     /// Whether this edge proxy is ready.
     Ping,
     /// A method of no known name.
-    Unknown(String),
+    Unknown,
     /// Arguments that can't be read.
     Malformed(&'static str),
 }
@@ -200,11 +202,12 @@
     let seqid = reader.i32()?;
     let method = match name.as_str() {
         "invoke" => reader.invoke(),
-        "abort" => reader.abort(),
+        // It is one-way: there is nothing to answer, not even that it can't be read.
+        "abort" => Ok(reader.abort()?),
         "ping" => reader.fields(|_, _, _| Ok(false)).map(|()| Method::Ping),
-        _ => Ok(Method::Unknown(name)),
+        _ => Ok(Method::Unknown),
     };
-    Ok(Call { seqid, method: method.unwrap_or_else(|Bad(why)| Method::Malformed(why)) })
+    Ok(Call { seqid, name, method: method.unwrap_or_else(|Bad(why)| Method::Malformed(why)) })
 }
 
 /// An answer to a call.
@@ -228,6 +231,8 @@
     Failed,
     /// An application exception.
     Exception {
+        /// The name of what was called.
+        name: String,
         /// Its type: 1 an unknown method, 7 a protocol error.
         kind: i32,
         /// What is wrong.
@@ -259,8 +264,8 @@
 pub fn reply(seqid: i32, reply: Reply) -> [Bytes; 3] {
     let mut head = BytesMut::with_capacity(64);
     head.put_i32(0); // the length, once it is known
-    let (kind, name) = match reply {
-        Reply::Exception { .. } => (3, "invoke"),
+    let (kind, name) = match &reply {
+        Reply::Exception { name, .. } => (3, name.as_str()),
         Reply::Pong(_) => (2, "ping"),
         _ => (2, "invoke"),
     };
@@ -291,7 +296,7 @@
             put_map(&mut head, 1, &[]);
             head.put_slice(&[STOP, STOP]);
         }
-        Reply::Exception { kind, text } => {
+        Reply::Exception { kind, text, .. } => {
             put_field(&mut head, STRING, 1);
             put_text(&mut head, &text);
             put_field(&mut head, I32, 2);
@@ -362,7 +367,7 @@
             Reply::Refused { pause: 250 },
             Reply::Refused { pause: 0 },
             Reply::Failed,
-            Reply::Exception { kind: 7, text: "why".into() },
+            Reply::Exception { name: "ping".into(), kind: 7, text: "why".into() },
         ];
         let lines: Vec<String> = cases.map(|given| shown(&reply(7, given).concat())).into();
         insta::assert_snapshot!(lines.join("\n"));
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -192,7 +192,9 @@
             Reason::BadMessage
         })?;
         let seqid = call.seqid;
-        let exception = |kind, text: &str| codec::reply(seqid, Reply::Exception { kind, text: text.into() });
+        let name = call.name;
+        let exception =
+            |kind, text: &str| codec::reply(seqid, Reply::Exception { name, kind, text: text.into() });
         match call.method {
             Method::Invoke { fields, body } => {
                 // Which of two answers under one number is whose can't be told: such a connection ends.
@@ -218,9 +220,7 @@
                 }
             }
             Method::Ping => asks.push(Ask::Ping { conn, seqid }),
-            Method::Unknown(name) => {
-                net.write(conn, exception(1, &format!("no method {name:?}")))?;
-            }
+            Method::Unknown => net.write(conn, exception(1, "no such method"))?,
             Method::Malformed(why) => {
                 // Answering under the number of an open request would answer that one.
                 if session.open.contains_key(&seqid) {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -514,7 +514,7 @@
 
     fn invoke(&mut self, conn: ConnKey, seqid: i32, form: Result<words::Form, String>, body: Bytes) {
         let refused = match &form {
-            Err(text) => Some(Reply::Exception { kind: 7, text: text.clone() }),
+            Err(text) => Some(Reply::Exception { name: "invoke".into(), kind: 7, text: text.clone() }),
             Ok(form) if self.is_full() => Some(Reply::Refused { pause: self.core.pause(form.class) / 1000 }),
             Ok(_) => None,
         };
