Leave a cache with many errors of its own with trials, none of them a write

Checked: the report's err column and the refusals; one of a location's few caches erring took more further attempts than the retry budget of a fifth, and writes that erred there were lost. At fault: logic.rs learn(): only ConnectFailed and Reset closed a cache; usable() let a write be the trial. Conclusion: a smoothed part of errors closes a cache above 0.4 and opens it under 0.1.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,6 +46,11 @@
 /// A server that fails outright gets one trial each time this has passed, us.
 const TRIAL_EVERY: Micros = SECOND;
 
+/// Weight of a new answer in a cache's smoothed part of errors; it is left with trials once that has risen to
+/// the first, and until it has fallen to the second.
+const FAILING_WEIGHT: f64 = 0.25;
+const FAILING: [f64; 2] = [0.4, 0.1];
+
 /// Part of its target that a request may be predicted to fill at a cache that has work already.
 const FILL_TARGET: f64 = 0.85;
 /// Part of that room for an object that this router has not seen of late: it likely needs a fill.
@@ -84,6 +89,8 @@
     usual_at: Micros,
     /// Smoothed lateness of answers: natural log of a time over the time it should take.
     late: f64,
+    /// Smoothed part of errors of its own.
+    failing: f64,
     /// Smoothed first byte as a source of fills, and when it last filled something or failed to.
     first_byte: Option<f64>,
     filled: Micros,
@@ -557,14 +564,21 @@
             smooth(&mut self.mean[usize::from(request.class.0)], own.max(0) as f64);
         }
         if let Some(to) = self.servers.get_mut(&attempt.server) {
+            if attempt.blamed || o.result == Ok {
+                to.failing += FAILING_WEIGHT * (f64::from(u8::from(o.result == Error)) - to.failing);
+            }
             match o.result {
                 Ok | Miss | Full => {
                     if to.shut {
                         to.late = to.late.min(late.max(LATE_LEAST));
                     }
-                    (to.heard, to.shut, to.shut_until) = (now, false, now);
+                    to.heard = now;
+                    if to.failing < FAILING[1] || !to.shut {
+                        (to.shut, to.shut_until) = (false, now);
+                    }
                 }
                 ConnectFailed | Reset => to.close(now),
+                Error if to.failing > FAILING[0] => to.close(now),
                 _ => {}
             }
             if o.result == Ok {
@@ -672,7 +686,9 @@
     /// Whether a cache may be sent a request: not shut (or due for a trial) and in its cold budget.
     fn usable(&self, now: Micros, server: ServerId, open: &Open) -> bool {
         let Some(to) = self.servers.get(&server) else { return false };
-        let trial = !to.shut || (to.shut_until <= now && to.out == 0);
+        // A write is no trial: where it fails it may have run, and is lost.
+        let safe = self.class(&open.request).effect == Effect::Safe;
+        let trial = !to.shut || (safe && to.shut_until <= now && to.out == 0);
         trial && self.may_send(now, open, server) && !self.cold_full(now, server, open.request.class)
     }
 
@@ -806,7 +822,7 @@
         for member in entries {
             let server = self.servers.entry(member.server).or_insert_with(|| Server::new(member, now));
             if server.member.up_since != member.up_since {
-                (server.late, server.shut, server.first_byte) = (0.0, false, None);
+                (server.late, server.failing, server.shut, server.first_byte) = (0.0, 0.0, false, None);
             }
             server.member = member;
         }
@@ -879,8 +895,22 @@
 impl Server {
     fn new(member: Member, now: Micros) -> Self {
         let (usual_at, filled, heard, shut_until) = (now, now, now, now);
-        let (out, usual, late, first_byte, shut, sends) = (0, 0.0, 0.0, None, false, VecDeque::new());
-        Server { member, out, usual, usual_at, late, first_byte, filled, heard, shut_until, shut, sends }
+        let (out, usual, late, failing, first_byte) = (0, 0.0, 0.0, 0.0, None);
+        let (shut, sends) = (false, VecDeque::new());
+        Server {
+            member,
+            out,
+            usual,
+            usual_at,
+            late,
+            failing,
+            first_byte,
+            filled,
+            heard,
+            shut_until,
+            shut,
+            sends,
+        }
     }
 
     /// Own attempts out by now, smoothed over `memory`.
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -914,3 +914,36 @@
         assert!(get_of(&actions).is_some(), "refused with {out} out at one cache: {actions:?}");
     }
 }
+
+#[test]
+fn a_cache_that_mostly_errs_is_left_with_trials_that_are_no_writes() {
+    // Fast errors kept their place as home: each cost a further attempt, and a write that erred was lost.
+    let mut told = settings();
+    told.classes.push(Class { effect: Effect::Unsafe, never_kept: true, ..told.classes[0].clone() });
+    let mut bench = Bench::new(told, fleet());
+    let bad = bench.served(7).server;
+    let write = |bench: &mut Bench| {
+        bench.next += 1;
+        let request = Request { class: ClassId(1), write: true, ..request(bench.next, 7) };
+        let get = get_of(&bench.event(Event::Request(request))).expect("an attempt");
+        bench.end(&get, 0, AttemptResult::Ok, Some(Note::FilledByOrigin));
+        get.server
+    };
+    assert_eq!(write(&mut bench), bad, "its home before");
+    let mut erred = 0;
+    for _ in 0..10 {
+        bench.now += 50 * MS;
+        let (_, actions) = bench.ask(7);
+        let get = get_of(&actions).expect("an attempt");
+        erred += usize::from(get.server == bad);
+        let result = if get.server == bad { AttemptResult::Error } else { AttemptResult::Ok };
+        bench.end(&get, 0, result, None);
+    }
+    assert!((2..=3).contains(&erred), "{erred} attempts before it was left");
+    bench.now += 2 * SECOND;
+    assert_ne!(write(&mut bench), bad, "a write is no trial");
+    let trial = (100..400).find(|object| bench.served(*object).server == bad);
+    assert!(trial.is_some(), "a read is");
+    (400..500).for_each(|object| drop(bench.served(object)));
+    assert_eq!(write(&mut bench), bad, "it comes back by its answers");
+}
