Let no job with an id in use hold others up; give each head its own time; mend a lint

Seen in review: a job whose id is open on all four connections of a server stood first in its queue until its time was over, and all others behind it; a pipelined head could inherit the time of the one before. At fault: upstream/mod.rs dispatch_one(); front/signed/mod.rs read(). Checked: the new socket test; fmt, clippy and all tests are green.

--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -197,6 +197,8 @@
                         (State::Said(Answer::bare(400)), false, false)
                     }
                 };
+                // The next head has a time of its own.
+                session.head.take().into_iter().for_each(|handle| due.remove(handle));
                 session.turns.push_back(Turn { number: session.count, state, only_head, keep });
                 session.count += 1;
                 session.last = !keep;
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -309,6 +309,12 @@
             let coming = links().filter(|(_, link)| !link.up).count();
             let wanted = known.queue.len().div_ceil(self.figures.streams).min(LINKS);
             let held = links().any(|(_, link)| sound(link));
+            if full && links().all(|(_, link)| !link.takes(id)) {
+                // One id on every connection there is: such a job must not stand before all others for good.
+                known.queue.pop_front();
+                self.end(now, job, Ending::NotConnected);
+                return true;
+            }
             if !held && coming < wanted && !full {
                 return self.connect(now, host, net, due) && coming + 1 < wanted;
             }
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -944,6 +944,8 @@
     assert_ne!(write(&mut bench), bad, "a write is no trial");
     let trial = (100..400).find(|object| bench.served(*object).server == bad);
     assert!(trial.is_some(), "a read is");
-    (400..500).for_each(|object| drop(bench.served(object)));
+    for object in 400..500 {
+        bench.served(object);
+    }
     assert_eq!(write(&mut bench), bad, "it comes back by its answers");
 }
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -273,6 +273,27 @@
     assert!(proxy.logged("end=").starts_with("idle"));
 }
 
+#[test]
+fn one_id_used_again_and_again_holds_nobody_up() {
+    let (cache, _parent, proxy) = single("same-id");
+    let mut client = Client::new(&proxy);
+    let again = |seqid| {
+        let (trace, entity) = (trace(1), "7f3a9c21e0b4d655");
+        let fields = [("route", "result"), ("trace", &trace), ("patience", "9000"), ("entity", entity)];
+        invoke(seqid, &fields, b"")
+    };
+    for seqid in 1..=4 {
+        client.send(&again(seqid));
+        assert_eq!(cache.next().words[1], trace(1), "each on a connection of its own");
+    }
+    client.send(&again(5));
+    client.send(&request(6, "result"));
+    cache.next().answer("200", "ver=a", b"x");
+    let replies = [client.reply(), client.reply()];
+    assert!(replies.contains(&(6, served(b"x"))), "{replies:?}");
+    assert!(replies.contains(&(5, Reply::Refused { pause: true })), "the fifth never left: {replies:?}");
+}
+
 #[test]
 fn a_silent_connection_gets_no_new_work() {
     let (cache, _parent, proxy) = single("silent");
