End an unsendable job as moot; make the socket tests keep their verdict on a busy machine

Seen: the test of one id used again failed once in a few runs: request 6 was refused. Checked: ending the fifth as 'not connected' closed a healthy cache in the module (logic.rs learn(), ConnectFailed), and a write is no trial. It is moot: never sent, and nothing is said of the server. Checked: four copies of the socket tests at once on one core are green; before, heads had 300 ms and runs shared their folders.

--- a/src/server/words.rs
+++ b/src/server/words.rs
@@ -107,6 +107,7 @@
 pub fn end(ending: Ending, report: &[String]) -> End {
     let answer = match ending {
         Ending::NotConnected => return End::bare(AttemptResult::ConnectFailed),
+        Ending::Unsent => return End::bare(AttemptResult::Moot),
         Ending::Reset => return End::bare(AttemptResult::Reset),
         Ending::Answer(answer) => answer,
     };
--- a/src/server/words/tests.rs
+++ b/src/server/words/tests.rs
@@ -64,6 +64,7 @@
     };
     for (ending, result) in [
         (Ending::NotConnected, ConnectFailed),
+        (Ending::Unsent, Moot),
         (Ending::Reset, Reset),
         (answer("200", false), Ok),
         (answer("304", false), Ok),
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -40,6 +40,8 @@
     Answer(Answer),
     /// No connection came up; it never left.
     NotConnected,
+    /// It can't be sent beside what is open, which says nothing of its server.
+    Unsent,
     /// The connection broke after it may have left.
     Reset,
 }
@@ -312,7 +314,7 @@
             if full && links().all(|(_, link)| !link.takes(id)) {
                 // One id on every connection there is: such a job must not stand before all others for good.
                 known.queue.pop_front();
-                self.end(now, job, Ending::NotConnected);
+                self.end(now, job, Ending::Unsent);
                 return true;
             }
             if !held && coming < wanted && !full {
--- a/tests/sockets/links.rs
+++ b/tests/sockets/links.rs
@@ -12,7 +12,7 @@
 listen = "127.0.0.1:0"
 scheme = "https"
 hosts = ["replays.example.org"]
-head_timeout_ms = 300
+head_timeout_ms = 10000
 [[key]]
 name = "links"
 algorithm = "url-hmac-sha1"
@@ -40,9 +40,13 @@
 }
 
 fn site(name: &str) -> Site {
+    site_by(name, OPERATOR)
+}
+
+fn site_by(name: &str, operator: &str) -> Site {
     let folder = folder(name);
     let file = folder.join("signed.toml");
-    std::fs::write(&file, OPERATOR).expect("a file");
+    std::fs::write(&file, operator).expect("a file");
     std::fs::write(folder.join("links.secret"), "AAECAwQFBgcICQoLDA0ODw==\n").expect("a file");
     std::fs::write(folder.join("tables.secret"), "Dw4NDAsKCQgHBgUEAwIBAA\n").expect("a file");
     let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
@@ -199,7 +203,7 @@
 fn a_link_that_ends_mid_fill_is_denied_at_once_and_the_fill_called_off() {
     let site = site("mid-fill");
     let mut client = site.client();
-    client.get(&site.replay(3, now() + 2));
+    client.get(&site.replay(3, now() + 3));
     let mut got = site.cache.next();
     assert_eq!(client.answer().status, 403, "while the fill is still out");
     assert_eq!(site.cache.next().words[0], "abort");
@@ -213,7 +217,7 @@
 fn a_link_that_ends_once_a_copy_is_chosen_gives_no_byte_of_it() {
     let site = site("chosen");
     let mut client = site.client();
-    let end = now() + 2;
+    let end = now() + 3;
     client.get(&site.replay(1, now() + 60));
     let mut first = site.cache.next();
     // Its copy is there, but its turn is behind the first.
@@ -234,7 +238,7 @@
 fn a_body_that_has_begun_runs_on_past_the_links_end() {
     let site = site("begun");
     let mut client = site.client();
-    let end = now() + 2;
+    let end = now() + 3;
     let body = vec![7; 240_000];
     client.get(&site.replay(1, end));
     site.cache.next().answer("200", "ver=a", &body);
@@ -304,7 +308,6 @@
         ("GET / HTTP/1.1\r\n\r\n".to_owned(), 400),
         ("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx".to_owned(), 400),
         (format!("GET /{} HTTP/1.1\r\n", "x".repeat(20_000)), 431),
-        ("GET / HTTP/1.1\r\nHost".to_owned(), 408),
     ] {
         let mut client = site.client();
         client.0.write_all(text.as_bytes()).expect("written");
@@ -315,5 +318,14 @@
     (0..40).for_each(|part| many.get(&format!("/replays/17/{OBJECT}/{part}")));
     (0..40)
         .for_each(|_| assert_eq!(many.answer().status, 403, "more than are open at a time are read in turn"));
+}
+
+#[test]
+fn a_head_that_does_not_come_has_an_end() {
+    let site = site_by("slow-head", &OPERATOR.replace("10000", "100"));
+    let mut client = site.client();
+    client.0.write_all(b"GET / HTTP/1.1\r\nHost").expect("written");
+    assert_eq!(client.answer().status, 408);
+    assert!(client.rest().is_empty());
     assert!(site.client().rest().is_empty(), "a connection that says nothing ends without an answer");
 }
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -360,8 +360,7 @@
         let mut client = Client::new(&proxy);
         client.send(&bytes);
         assert!(client.is_closed(), "{code}");
-        let end = proxy.logged("role=Thrift");
-        assert!(end.contains(&format!("end={code} ")) || end.contains("end=peer-closed"), "{code}: {end}");
+        proxy.logged(&format!("end={code} "));
     }
     assert!(Client::new(&proxy).ping(1));
 }
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -200,9 +200,10 @@
     log: Receiver<String>,
 }
 
-/// A folder of a test's own.
+/// A folder of a test's own, in this run.
 pub fn folder(name: &str) -> std::path::PathBuf {
-    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
     folder
 }
