Test on sockets that a full edge proxy refuses what is new and goes on

The budget of bytes had no test of its own: three unfinished frames against a limit of 1 MB now show the refusal with its pause, and service again once they are gone.

--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -7,7 +7,7 @@
 
 struct Client(TcpStream);
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 enum Reply {
     Served { body: Vec<u8>, current: bool },
     Refused { pause: bool },
@@ -273,6 +273,40 @@
     assert!(proxy.logged("end=").starts_with("idle"));
 }
 
+#[test]
+fn a_full_edge_proxy_refuses_what_is_new_and_goes_on() {
+    let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+    let small = |config: &str| config.replace("\"memory_mb\":192", "\"memory_mb\":1");
+    let proxy = Proxy::start("full", &[&cache, &parent], small, &[]);
+    let mut client = Client::new(&proxy);
+    let mut seqid = 0;
+    // Asks until the answer is the wanted one: what others wrote or closed is read in no known order.
+    let mut until = |wanted: Reply| loop {
+        seqid += 1;
+        client.send(&request(seqid, "replay"));
+        client.0.set_read_timeout(Some(std::time::Duration::from_millis(5))).expect("a time-out");
+        while client.0.peek(&mut [0]).is_err() {
+            if let Some(mut got) = cache.try_next() {
+                got.answer("200", "ver=a", b"x");
+            }
+        }
+        client.0.set_read_timeout(Some(LONG)).expect("a time-out");
+        if client.reply() == (seqid, wanted.clone()) {
+            break;
+        }
+    };
+    until(served(b"x"));
+    let frame = invoke(1, &[("route", "result")], &[1; 100_000]);
+    let unfinished = [(); 3].map(|()| {
+        let mut other = Client::new(&proxy);
+        other.send(&frame[..frame.len() - 1]);
+        other
+    });
+    until(Reply::Refused { pause: true });
+    drop(unfinished);
+    until(served(b"x"));
+}
+
 #[test]
 fn one_id_used_again_and_again_holds_nobody_up() {
     let (cache, _parent, proxy) = single("same-id");
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -209,7 +209,7 @@
 }
 
 impl Proxy {
-    /// Starts one that knows these caches; `change` is applied to the settings' text.
+    /// Starts one that knows these caches; `change` is applied to its configuration's text.
     pub fn start(name: &str, caches: &[&Cache], change: impl Fn(&str) -> String, more: &[&str]) -> Self {
         let feed = Feed::default();
         let hosts: Vec<String> = caches.iter().map(|cache| host(cache, "up")).collect();
@@ -219,10 +219,10 @@
                "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"feed":"{}","known":{},"settings":{}}}"#,
             feed.serve(),
             feed.batch(0),
-            change(SETTINGS)
+            SETTINGS
         );
         let path = folder(name).join("config.json");
-        std::fs::write(&path, config).expect("a file");
+        std::fs::write(&path, change(&config)).expect("a file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_dahliatrack"))
             .args(["serve", "--config"])
             .arg(&path)
