Read the files again on SIGHUP and move the feed at once; poll the feed shortly

Checked: server::start watched SIGTERM and SIGINT only (Signals::new), so SIGHUP had its default action; Ready::Source(_) took any signal as the end. Feed: WAIT_MS 5000 + SLACK 2 s = 7 s until a feed that stopped was asked again, just when what it would have told counts as told; now 1 s + 0.7 s, then 0.4 s for a connection. A bad file is one warning and changes nothing.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Why a configuration cannot be used; its text is one plain line.
 #[derive(Debug, thiserror::Error)]
@@ -38,7 +38,7 @@
 }
 
 /// What the process may use.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
     /// Memory, in MB.
     pub memory_mb: u64,
@@ -108,6 +108,27 @@
     }
 }
 
+/// The files that a configuration comes from, at the start and at each SIGHUP.
+#[derive(Clone, Debug)]
+pub struct Files {
+    /// PROXY_CONFIG.
+    pub config: PathBuf,
+    /// The operator's file of the second front, which is off without it.
+    pub signed: Option<PathBuf>,
+}
+
+impl Files {
+    /// Reads and checks them all.
+    ///
+    /// # Errors
+    ///
+    /// A file that cannot be read or used.
+    pub fn read(&self) -> Result<(Config, Option<signed::Signed>), ConfigError> {
+        let signed = self.signed.as_deref().map(signed::Signed::read).transpose()?;
+        Ok((Config::read(&self.config)?, signed))
+    }
+}
+
 /// Reads a file.
 ///
 /// # Errors
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -8,12 +8,19 @@
 use log::warn;
 use std::net::SocketAddr;
 
-/// How long the control feed may hold an answer back, ms.
-const WAIT_MS: i64 = 5000;
-/// How much later than that an answer may come, us; and how long a connection may take to come up.
-const SLACK: i64 = 2_000_000;
+/// How long the control feed may hold an answer back, ms. Short: one that stops telling while its connection
+/// stays open is found out only once the wait that was asked for is over.
+const WAIT_MS: i64 = 1000;
+/// How much later than that an answer may come, us.
+const SLACK: i64 = 700_000;
+/// How long a connection may take to come up, us.
+const CONNECT: i64 = 400_000;
 /// The first and the longest pause before the next try, us.
-const PAUSES: [i64; 2] = [50_000, 1_000_000];
+const PAUSES: [i64; 2] = [30_000, 500_000];
+/// What the feed would have told counts as told this long after a break, or after the end of the wait, us:
+/// a poll that broke or stopped and the connection after it fit into that.
+const TOLD_AFTER: i64 = 2_000_000;
+const _: () = assert!(SLACK + CONNECT + PAUSES[0] < TOLD_AFTER && CONNECT + 2 * PAUSES[1] < TOLD_AFTER);
 /// Bytes of answers that are taken in at a time; a longer answer is no answer.
 const INPUT: usize = 1 << 22;
 
@@ -52,12 +59,25 @@
         match net.connect(now, self.addr, Role::Feed) {
             Ok(key) => {
                 (self.conn, self.up) = (Some(key), false);
-                self.expect(now + SLACK, Due::Overdue, due);
+                self.expect(now + CONNECT, Due::Overdue, due);
             }
             Err(_) => self.again(now, due),
         }
     }
 
+    /// Goes on at another address with the events after the last one that was had: the old connection ends at
+    /// once, whatever it would still have told, since the new address tells it under the same numbers.
+    pub fn move_to(&mut self, now: i64, addr: SocketAddr, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        if addr == self.addr {
+            return;
+        }
+        (self.addr, self.pause) = (addr, PAUSES[0]);
+        if let Some(key) = self.conn.take() {
+            net.close(now, key, Reason::Replaced);
+        }
+        self.start(now, net, due);
+    }
+
     fn expect(&mut self, at: i64, what: Due, due: &mut dyn Schedule<Due>) {
         self.deadline.take().into_iter().for_each(|handle| due.remove(handle));
         self.deadline = Some(due.add(at, what));
@@ -170,3 +190,66 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Keeps the one deadline that the feed has.
+    #[derive(Default)]
+    struct Last(Option<(i64, Due)>);
+
+    impl Schedule<Due> for Last {
+        fn add(&mut self, at: i64, what: Due) -> Handle {
+            self.0 = Some((at, what));
+            let mut some = crate::deadlines::Deadlines::<Due>::default();
+            some.add(at, what)
+        }
+
+        fn remove(&mut self, _: Handle) {
+            self.0 = None;
+        }
+    }
+
+    /// An address that takes connections and says nothing.
+    fn mute() -> (std::net::TcpListener, SocketAddr) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        (listener, addr)
+    }
+
+    /// What a feed that stopped would have told counts as told 2 s after the wait it was asked for: by then
+    /// it must have been asked again.
+    #[test]
+    fn a_feed_that_stops_is_asked_again_in_time() {
+        let ((_old, addr), mut net, mut due) = (mute(), Net::new().expect("a poll"), Last::default());
+        let mut feed = Feed::new(addr, 7);
+        feed.start(0, &mut net, &mut due);
+        feed.up = true;
+        feed.ask(0, &mut net, &mut due);
+        let (mut now, mut last) = (0, None);
+        while let Some((at, what)) = due.0.take() {
+            (now, last) = (at, Some(what));
+            if what == Due::Retry {
+                break;
+            }
+            feed.due(at, what, &mut net, &mut due);
+        }
+        assert!(last == Some(Due::Retry) && now + CONNECT < WAIT_MS * 1000 + TOLD_AFTER, "{last:?} at {now}");
+    }
+
+    #[test]
+    fn it_moves_at_once_and_goes_on_after_its_last_event() {
+        let ((_old, addr), (_new, next)) = (mute(), mute());
+        let (mut net, mut due) = (Net::new().expect("a poll"), Last::default());
+        let mut feed = Feed::new(addr, 7);
+        feed.start(0, &mut net, &mut due);
+        let old = feed.conn;
+        feed.move_to(1, addr, &mut net, &mut due);
+        assert_eq!(feed.conn, old, "the same address is no move");
+        feed.move_to(2, next, &mut net, &mut due);
+        assert!(feed.conn != old && feed.conn.is_some());
+        assert_eq!((feed.addr, feed.last, net.count(Role::Feed)), (next, 7, 1));
+        assert_eq!(due.0, Some((2 + CONNECT, Due::Overdue)));
+    }
+}
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -94,6 +94,12 @@
         Front { gate: Gate::new(&config), config, sessions: HashMap::new(), gone: Vec::new() }
     }
 
+    /// Takes over an operator's file that was read again, but for where it listens. What was let in stays.
+    pub fn reload(&mut self, config: Signed) {
+        self.gate = Gate::new(&config);
+        self.config = config;
+    }
+
     /// Requests that are over for their clients since the last call, by the numbers that [`Front::bind`]
     /// gave: nothing is owed to them.
     pub fn gone(&mut self) -> Vec<u64> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,11 +4,11 @@
 
 use clap::{Parser, Subcommand};
 use dahliatrack::config::signed::Signed;
-use dahliatrack::config::{Config, ConfigError};
+use dahliatrack::config::{ConfigError, Files};
 use dahliatrack::front::signed::gate::{Binding, Gate, Grant, SignError};
 use dahliatrack::server::{route_classes, Server, ServerError};
 use std::fmt::Display;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// A real edge proxy for a two-tier cache.
@@ -21,7 +21,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve until SIGTERM or SIGINT, then answer what is open and exit
+    /// Serve until SIGTERM or SIGINT, then answer what is open and exit; SIGHUP reads the files again
     Serve {
         /// The configuration
         #[arg(long, env = "PROXY_CONFIG")]
@@ -128,12 +128,11 @@
     match command {
         Command::Serve { config, signed, log } => {
             logger::start(log);
-            let (config, signed) = read(&config, &signed)?;
-            Server::start(config, signed)?.run()?;
+            Server::start(Files { config, signed })?.run()?;
         }
         Command::CheckConfig { config, signed } => {
-            let (config, signed) = read(&config, &signed)?;
-            let routes = signed.map(|signed| route_classes(&signed, &config)).transpose()?;
+            let (config, signed) = Files { config, signed }.read()?;
+            let routes = signed.map(|signed| route_classes(&signed, &config.settings)).transpose()?;
             print(&format!("{}: usable, {} events known", config.name, config.known.events.len()));
             if let Some(routes) = routes {
                 print(&format!("second front: usable, {} routes", routes.len()));
@@ -156,11 +155,6 @@
     Ok(())
 }
 
-fn read(config: &Path, signed: &Option<PathBuf>) -> Result<(Config, Option<Signed>), ConfigError> {
-    let signed = signed.as_deref().map(Signed::read).transpose()?;
-    Ok((Config::read(config)?, signed))
-}
-
 fn print(line: &dyn Display) {
     println!("{line}");
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -2,12 +2,14 @@
 //! feed to the core and translates between their words; it decides nothing about requests.
 
 mod members;
+mod reload;
 mod words;
 
 use crate::config::events::{Batch, Numbered};
 use crate::config::settings::Names;
+use crate::config::settings::Parsed;
 use crate::config::signed::Signed;
-use crate::config::Config;
+use crate::config::{Config, ConfigError, Files};
 use crate::core::{self, Ask, Command, Core, Final, RequestKey};
 use crate::deadlines::{Deadlines, Schedule};
 use crate::feed::{self, Feed};
@@ -22,7 +24,8 @@
 use log::{info, warn};
 use members::Members;
 use mio::net::TcpListener;
-use signal_hook::consts::signal::{SIGINT, SIGTERM};
+use reload::{Budget, Started};
+use signal_hook::consts::signal::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::collections::HashMap;
 use std::io;
@@ -43,12 +46,6 @@
 const STOP_LOOK: Micros = 20_000;
 /// The pause before connections are taken again when descriptors ran out, us.
 const ACCEPT_AGAIN: Micros = 50_000;
-/// Descriptors besides clients' and servers' connections: listeners, poll, signals, standard streams, feed.
-const OTHER_SOCKETS: usize = 24;
-/// Parts of the memory limit: above the first new requests are refused, above the second no answer is kept.
-const FULL: f64 = 0.25;
-const NO_ROOM: f64 = 0.4;
-
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Core(core::Due),
@@ -74,6 +71,9 @@
 /// Why the edge proxy cannot start, or had to end.
 #[derive(Debug, thiserror::Error)]
 pub enum ServerError {
+    /// A file cannot be read or used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     /// The settings are of no use to the module.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
@@ -101,7 +101,7 @@
 impl ServerError {
     /// Whether a configuration is to blame.
     pub fn is_config(&self) -> bool {
-        matches!(self, ServerError::Settings(_) | ServerError::Route { .. })
+        matches!(self, ServerError::Config(_) | ServerError::Settings(_) | ServerError::Route { .. })
     }
 }
 
@@ -131,6 +131,8 @@
 
 /// The edge proxy.
 pub struct Server {
+    files: Files,
+    started: Started,
     clock: Clock,
     now: Micros,
     net: Net,
@@ -148,39 +150,40 @@
     names: Names,
     listener: TcpListener,
     signals: Signals,
-    most_clients: usize,
-    full: usize,
+    budget: Budget,
     stopping: Option<Micros>,
     stopped: bool,
 }
 
 impl Server {
-    /// Listens, and takes in what the configuration knows.
+    /// Reads the configuration, listens, and takes in what is known.
     ///
     /// # Errors
     ///
-    /// Settings or routes that cannot be used, or an address that cannot be listened on.
-    pub fn start(config: Config, signed: Option<Signed>) -> Result<Self, ServerError> {
+    /// Files, settings or routes that cannot be used, or an address that cannot be listened on.
+    pub fn start(files: Files) -> Result<Self, ServerError> {
+        let mut net = Net::new()?;
+        // First of all: a signal that comes before it is watched for ends the program.
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+        net.watch(&mut signals, SIGNALS)?;
+        let (config, signed) = files.read()?;
         let mut clock = Clock::default();
         let now = clock.now();
-        let mut net = Net::new()?;
-        let addr = config.listen;
-        let listener = listen(&mut net, addr, LISTENER)?;
+        let listener = listen(&mut net, config.listen, LISTENER)?;
         let links = signed.map(|signed| Links::start(signed, &config, &mut net)).transpose()?;
-        let mut signals = Signals::new([SIGTERM, SIGINT])?;
-        net.watch(&mut signals, SIGNALS)?;
-        let memory = config.limits.memory_mb as f64 * 1e6;
-        let sockets = config.limits.sockets.saturating_sub(OTHER_SOCKETS);
-        let most_clients = config.limits.sockets.div_ceil(3).min(sockets / 2 + 1);
+        let started = Started::of(&config);
         let names = config.settings.names;
+        let budget = Budget::of(&config.limits);
         let figures = Figures {
             connect_timeout: names.connect_timeout,
             idle: names.conn_idle,
             streams: names.streams_per_conn,
-            most: sockets.saturating_sub(most_clients),
-            bytes: (memory * NO_ROOM) as usize,
+            most: budget.servers,
+            bytes: budget.answers,
         };
         let mut server = Server {
+            files,
+            started,
             core: Core::new(config.settings.settings, config.seed, now)?,
             members: Members::default(),
             upstream: Upstream::new(figures),
@@ -192,7 +195,7 @@
             bodies: 0,
             due: Deadlines::default(),
             listener,
-            full: (memory * FULL) as usize,
+            budget,
             stopping: None,
             stopped: false,
             clock,
@@ -200,7 +203,6 @@
             net,
             names,
             signals,
-            most_clients,
         };
         server.news(config.known);
         server.feed.start(now, &mut server.net, &mut server.due);
@@ -245,7 +247,11 @@
         match ready {
             Ready::Source(LISTENER | LINKS) => self.accept(),
             Ready::Source(_) => {
-                if self.signals.pending().next().is_some() && self.stopping.is_none() {
+                let signals: Vec<i32> = self.signals.pending().collect();
+                if signals.contains(&SIGHUP) {
+                    self.reload();
+                }
+                if signals.iter().any(|signal| *signal != SIGHUP) && self.stopping.is_none() {
                     info!("stopping");
                     self.stopping = Some(self.now);
                     self.due.add(self.now + STOP_AFTER, Due::Stop);
@@ -303,7 +309,7 @@
     fn accept(&mut self) {
         for role in [Role::Thrift, Role::Signed] {
             while let Some(conn) = self.accept_one(role) {
-                if self.net.count(Role::Thrift) + self.net.count(Role::Signed) > self.most_clients {
+                if self.net.count(Role::Thrift) + self.net.count(Role::Signed) > self.budget.clients {
                     self.net.close(self.now, conn, Reason::TooMany);
                 } else if role == Role::Thrift {
                     self.thrift.open(self.now, conn, &mut self.due);
@@ -460,7 +466,7 @@
     /// Whether there is no room for another request: refused now, it does no harm.
     fn is_full(&self) -> bool {
         let held = self.net.held() + self.core.held() + self.bodies;
-        held > self.full || self.waiting.len() >= self.names.most_held
+        held > self.budget.requests || self.waiting.len() >= self.names.most_held
     }
 
     /// Hands in a request of the second front, which has checked its right.
@@ -584,7 +590,7 @@
 
 impl Links {
     fn start(signed: Signed, config: &Config, net: &mut Net) -> Result<Self, ServerError> {
-        let classes = route_classes(&signed, config)?;
+        let classes = route_classes(&signed, &config.settings)?;
         let listener = listen(net, signed.listen, LINKS)?;
         Ok(Links { listener, classes, front: signed::Front::new(signed) })
     }
@@ -595,8 +601,8 @@
 /// # Errors
 ///
 /// A class that is unknown, or whose requests are never kept.
-pub fn route_classes(signed: &Signed, config: &Config) -> Result<Vec<(ClassId, Micros)>, ServerError> {
-    let (names, settings) = (&config.settings.names, &config.settings.settings);
+pub fn route_classes(signed: &Signed, settings: &Parsed) -> Result<Vec<(ClassId, Micros)>, ServerError> {
+    let Parsed { names, settings } = settings;
     let class = |route: &crate::config::signed::Route| {
         let place = names.classes.iter().position(|known| *known == route.class)?;
         let class = settings.classes.get(place).filter(|class| !class.never_kept)?;
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Sets the connections and the bytes that may be held from now on.
+    pub fn set_budget(&mut self, most: usize, bytes: usize) {
+        (self.figures.most, self.figures.bytes) = (most, bytes);
+    }
+
     /// What has happened since the last call.
     pub fn happened(&mut self) -> Vec<Happening> {
         std::mem::take(&mut self.happened)
--- a/tests/sockets/links.rs
+++ b/tests/sockets/links.rs
@@ -34,7 +34,7 @@
 struct Site {
     cache: Cache,
     _parent: Cache,
-    _proxy: Proxy,
+    proxy: Proxy,
     addr: SocketAddr,
     file: PathBuf,
 }
@@ -53,7 +53,7 @@
     let more = ["--signed", file.to_str().expect("a path")];
     let proxy = Proxy::start(name, &[&cache, &parent], str::to_owned, &more);
     let addr = proxy.logged("links are served on ").parse().expect("an address");
-    Site { cache, _parent: parent, _proxy: proxy, addr, file }
+    Site { cache, _parent: parent, proxy, addr, file }
 }
 
 fn now() -> u64 {
@@ -329,3 +329,29 @@
     assert!(client.rest().is_empty());
     assert!(site.client().rest().is_empty(), "a connection that says nothing ends without an answer");
 }
+
+#[test]
+fn sighup_changes_the_keys_and_a_bad_file_changes_none() {
+    let site = site("rotate");
+    let (mut waits, mut client) = (site.client(), site.client());
+    let (old, open) = (site.replay(1, now() + 1000), site.replay(2, now() + 1000));
+    waits.get(&open);
+    let mut fill = site.cache.next();
+    let secret = site.file.with_file_name("links.secret");
+    std::fs::write(&secret, "too short\n").expect("a file");
+    site.proxy.signal("-HUP");
+    site.proxy.logged("the old configuration stays");
+    client.get(&old);
+    site.cache.next().answer("200", "ver=a", b"x");
+    assert_eq!(client.answer().status, 200, "the old key still counts");
+    std::fs::write(&secret, "DwAODwAODwAODwAODwAODw==\n").expect("a file");
+    site.proxy.signal("-HUP");
+    site.proxy.logged("reloaded: feed ");
+    client.get(&old);
+    assert_eq!(client.answer().status, 403, "a key that was replaced opens nothing");
+    client.get(&site.replay(3, now() + 1000));
+    site.cache.next().answer("200", "ver=a", b"z");
+    assert_eq!(client.answer().body, b"z", "the new one opens");
+    fill.answer("200", "ver=a", b"y");
+    assert_eq!(waits.answer().body, b"y", "what was let in stays");
+}
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -405,8 +405,7 @@
     let mut old = Client::new(&proxy);
     old.send(&request(1, "replay"));
     let mut open = cache.next();
-    let pid = proxy.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+    proxy.signal("-TERM");
     proxy.logged("stopping");
     let mut new = Client::new(&proxy);
     new.send(&request(2, "replay"));
@@ -417,6 +416,52 @@
     assert!(proxy.child.wait().expect("an end").success());
 }
 
+/// A feed at another address that goes on under the same numbers.
+fn next_feed(proxy: &Proxy, hosts: &[String]) -> Feed {
+    let next = Feed::default();
+    next.tell(&members(true, hosts));
+    let addr = next.serve();
+    proxy.rewrite(|text| {
+        let (before, rest) = text.split_once("\"feed\":\"").expect("a feed");
+        format!("{before}\"feed\":\"{addr}{}", &rest[rest.find('"').expect("its end")..])
+    });
+    next
+}
+
+#[test]
+fn sighup_moves_the_feed_at_once_and_disturbs_nothing() {
+    let (cache, parent, mut proxy) = single("hup");
+    let hosts = [host(&cache, "up"), host(&parent, "up")];
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "result"));
+    let mut open = cache.next();
+    let second = next_feed(&proxy, &hosts);
+    proxy.signal("-HUP");
+    proxy.logged("reloaded: feed ");
+    second.tell(&members(false, &hosts));
+    proxy.logged("event 2: "); // the old address never tells it
+    proxy.rewrite(|text| text[1..].to_owned());
+    proxy.signal("-HUP");
+    proxy.logged("the old configuration stays");
+    second.tell(&members(false, &hosts));
+    proxy.logged("event 3: ");
+    proxy.rewrite(|text| format!("{{{}", text.replace("\"aim_stretch\": 2.0", "\"aim_stretch\": 3.0")));
+    proxy.signal("-HUP");
+    assert!(proxy.logged("reloaded: feed ").ends_with("the rest waits for a start"));
+    proxy.signal("-TERM");
+    proxy.logged("stopping");
+    let third = next_feed(&proxy, &[hosts.to_vec(), hosts.to_vec()].concat());
+    proxy.signal("-HUP");
+    proxy.logged("reloaded: feed ");
+    third.tell(&members(false, &hosts));
+    third.tell(&members(false, &hosts));
+    third.tell(&members(false, &hosts));
+    proxy.logged("event 4: "); // a drain or a purge counts while it stops, too
+    open.answer("200", "ver=a", b"ran");
+    assert_eq!(client.reply(), (1, served(b"ran")), "on the connection and by the attempt of before");
+    assert!(proxy.child.wait().expect("an end").success());
+}
+
 #[test]
 fn a_bad_configuration_ends_with_one_line_and_code_2() {
     let folder = folder("bad-config");
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -126,7 +126,7 @@
         format!("{{\"n\":{},\"events\":[{}]}}", events.len(), events[after..].join(","))
     }
 
-    fn serve(&self) -> SocketAddr {
+    pub fn serve(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let addr = listener.local_addr().expect("an address");
         let feed = self.clone();
@@ -195,6 +195,7 @@
 /// The edge proxy's process.
 pub struct Proxy {
     pub child: Child,
+    config: std::path::PathBuf,
     pub addr: SocketAddr,
     pub feed: Feed,
     log: Receiver<String>,
@@ -223,6 +224,7 @@
         );
         let path = folder(name).join("config.json");
         std::fs::write(&path, change(&config)).expect("a file");
+        let config = path.clone();
         let mut child = Command::new(env!("CARGO_BIN_EXE_dahliatrack"))
             .args(["serve", "--config"])
             .arg(&path)
@@ -233,11 +235,22 @@
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().expect("piped"));
         thread::spawn(move || lines.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let mut proxy = Proxy { child, addr: "127.0.0.1:0".parse().expect("an address"), feed, log };
+        let mut proxy = Proxy { child, config, addr: "127.0.0.1:0".parse().expect("an address"), feed, log };
         proxy.addr = proxy.logged("listens on ").parse().expect("an address");
         proxy
     }
 
+    /// Changes the configuration's text.
+    pub fn rewrite(&self, change: impl Fn(&str) -> String) {
+        let text = std::fs::read_to_string(&self.config).expect("a file");
+        std::fs::write(&self.config, change(&text)).expect("a file");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
     /// Waits for a log line that holds these words; gives what follows them.
     pub fn logged(&self, words: &str) -> String {
         loop {
