Count a broken connection once instead of shutting its cache; spread what is open

Checked: Router::learn shut a cache at each Reset ('ConnectFailed | Reset => to.close'), so its objects moved to the others, which refused for the crowd; upstream put all of a server's jobs on one connection (LINKS only for silent ones), so one spoilt answer ended 16 attempts and writes with them. Ruled out: spoilt answers passed on (rules kept), late detection (all 41 ended as bad-message), memory. Also: reset before up is tried anew, a job of which no byte left goes by another connection, a server that is gone is forgotten, a 200 of length 0 waits for its line's end, unknown words are no answer.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -32,6 +32,8 @@
 pub struct Names {
     /// The names of the classes.
     pub classes: Vec<String>,
+    /// Which of them are writes: what may not run twice at will.
+    pub writes: Vec<bool>,
     /// The names of the kinds of machine.
     pub kinds: Vec<String>,
     /// The names of the zones.
@@ -173,6 +175,7 @@
     }
     let names = Names {
         classes: wire.grades.iter().map(|grade| grade.name.clone()).collect(),
+        writes: classes.iter().map(|class| class.effect != Effect::Safe).collect(),
         kinds: wire.skus.clone(),
         zones: wire.failure_domains.clone(),
         report: wire.report.names.clone(),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 use crate::slots::{Key, Slots};
 use crate::{Router, SettingsError};
 use bytes::Bytes;
+use log::debug;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A request of the core's table.
@@ -463,6 +464,7 @@
         if !matches!(request.state, State::Open) {
             return false;
         }
+        debug!("{key} class {} answer {}", request.ask.class.0, name(&answer));
         request.state = State::Chosen(answer);
         self.held += bytes(&request.state);
         self.commands.push_back(Command::Answer(key));
@@ -478,6 +480,10 @@
             self.answer(request, Final::Served(end.copy));
         }
         let finished = !self.requests.get(request).is_some_and(|r| matches!(r.state, State::Open));
+        let (server, number, source) =
+            (attempt.server.0, attempt.number, attempt.get.map(|get| get.source.0));
+        let (elapsed, launched, result) = (now - attempt.sent, attempt.launched, end.result);
+        debug!("{request} attempt {number} at {server} from {source:?}: {result:?} {:?} us={elapsed} left={launched} waited={}", end.note, end.waited);
         self.events.push_back(Event::Outcome(Outcome {
             request: attempt.request,
             attempt: attempt.number,
@@ -572,6 +578,16 @@
     }
 }
 
+/// An answer's name in the log.
+fn name(answer: &Final) -> &'static str {
+    match answer {
+        Final::Served(_) => "served",
+        Final::Refused { .. } => "refused",
+        Final::Failed { .. } => "failed",
+        Final::Denied => "denied",
+    }
+}
+
 /// The bytes that a state holds.
 fn bytes(state: &State) -> usize {
     match state {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -89,8 +89,9 @@
     usual_at: Micros,
     /// Smoothed lateness of answers: natural log of a time over the time it should take.
     late: f64,
-    /// Smoothed part of errors of its own.
+    /// Smoothed part of errors of its own, and when a connection to it broke last.
     failing: f64,
+    broke: Micros,
     /// Smoothed first byte as a source of fills, and when it last filled something or failed to.
     first_byte: Option<f64>,
     filled: Micros,
@@ -117,6 +118,8 @@
     rescued: bool,
     /// The cache is to blame for how it ended, so it is asked again last.
     blamed: bool,
+    /// Its connection broke: that says little of the cache, and nothing of the source.
+    torn: bool,
     /// The origin failed behind its source: what it holds is not asked for again by this request.
     behind: bool,
 }
@@ -375,8 +378,8 @@
     /// first unless the other is clearly sooner. All routers draw the same two: not every parent fetches it.
     fn source(&self, now: Micros, open: &Open) -> Option<ServerId> {
         let (object, class) = (key(&open.request), open.request.class);
-        let failed =
-            |s: &Server| open.attempts.iter().any(|a| a.source == s.member.server && (a.rescued || !a.open));
+        let ended = |a: &Attempt| a.rescued || !(a.open || a.torn);
+        let failed = |s: &Server| open.attempts.iter().any(|a| a.source == s.member.server && ended(a));
         let good = |s: &&Server| (!s.shut || s.shut_until <= now) && !failed(s);
         let in_budget = self.parents.iter().filter(|s| !self.cold_full(now, **s, class));
         let parents: Vec<&Server> = in_budget.map(|s| &self.servers[s]).collect();
@@ -466,12 +469,15 @@
 
     fn on_outcome(&mut self, now: Micros, o: Outcome, out: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&o.request) else { return };
+        let again = open.attempts.iter().take(usize::from(o.attempt)).any(|a| a.server == o.server && a.torn);
         let Some(attempt) = open.attempts.get_mut(usize::from(o.attempt)).filter(|a| a.open) else { return };
         attempt.open = false;
         let by_source = o.note.is_some_and(|note| note as u8 >= Note::SourceRefused as u8);
         let called_off = attempt.rescued && o.result == AttemptResult::Cancelled;
         attempt.behind = o.note == Some(Note::OriginFailed);
-        attempt.blamed |= o.result != AttemptResult::Ok && !by_source && !called_off;
+        // What broke once is asked for where it was, since the copy is there; what breaks again is not.
+        attempt.torn = o.result == AttemptResult::Reset && !again;
+        attempt.blamed |= !attempt.torn && o.result != AttemptResult::Ok && !by_source && !called_off;
         let (attempt, request) = (attempt.clone(), open.request.clone());
         if !o.result.never_ran() && open.may_have_run.is_none_or(|(first, _)| attempt.sent < first) {
             open.may_have_run = Some((attempt.sent, attempt.server));
@@ -495,7 +501,7 @@
         if o.result == AttemptResult::Miss && attempt.held {
             return self.give_up(now, o.request, out);
         }
-        let free = attempt.rescued || (attempt.delegate && o.result == AttemptResult::Miss);
+        let free = attempt.rescued || attempt.torn || (attempt.delegate && o.result == AttemptResult::Miss);
         if !free && self.retries < 1.0 {
             return self.give_up(now, o.request, out);
         }
@@ -564,7 +570,7 @@
             smooth(&mut self.mean[usize::from(request.class.0)], own.max(0) as f64);
         }
         if let Some(to) = self.servers.get_mut(&attempt.server) {
-            if attempt.blamed || o.result == Ok {
+            if o.result != Reset && (attempt.blamed || o.result == Ok) {
                 to.failing += FAILING_WEIGHT * (f64::from(u8::from(o.result == Error)) - to.failing);
             }
             match o.result {
@@ -577,7 +583,16 @@
                         (to.shut, to.shut_until) = (false, now);
                     }
                 }
-                ConnectFailed | Reset => to.close(now),
+                ConnectFailed => to.close(now),
+                // One answer that can't be read ends all that is open on its connection, and any cache may
+                // send one: it counts once, as one failure, however many attempts end with it.
+                Reset if to.broke != now => {
+                    to.broke = now;
+                    to.failing += FAILING_WEIGHT * (1.0 - to.failing);
+                    if to.failing > FAILING[0] {
+                        to.close(now);
+                    }
+                }
                 Error if to.failing > FAILING[0] => to.close(now),
                 _ => {}
             }
@@ -894,7 +909,7 @@
 
 impl Server {
     fn new(member: Member, now: Micros) -> Self {
-        let (usual_at, filled, heard, shut_until) = (now, now, now, now);
+        let (usual_at, filled, heard, shut_until, broke) = (now, now, now, now, now - 1);
         let (out, usual, late, failing, first_byte) = (0, 0.0, 0.0, 0.0, None);
         let (shut, sends) = (false, VecDeque::new());
         Server {
@@ -904,6 +919,7 @@
             usual_at,
             late,
             failing,
+            broke,
             first_byte,
             filled,
             heard,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -217,8 +217,13 @@
     /// It was refused or failed.
     pub fn connected(&mut self, key: ConnKey) -> Result<bool, Reason> {
         let Some(conn) = self.conns.get(key) else { return Err(Reason::PeerReset) };
-        if let Ok(Some(_)) | Err(_) = conn.stream.take_error() {
-            return Err(Reason::ConnectRefused);
+        match conn.stream.take_error() {
+            Ok(None) => {}
+            // It did come up, and broke before it was looked at.
+            Ok(Some(error)) if error.kind() == io::ErrorKind::ConnectionReset => {
+                return Err(Reason::PeerReset)
+            }
+            Ok(Some(_)) | Err(_) => return Err(Reason::ConnectRefused),
         }
         match conn.stream.peer_addr() {
             Ok(_) => Ok(true),
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -380,8 +380,10 @@
     fn carry_out(&mut self, command: Command) {
         match command {
             Command::Send { attempt, request, server } => {
-                let id = self.waiting.get(&request).map(|waiting| waiting.trace.clone()).unwrap_or_default();
-                self.upstream.queue(self.now, server.0, attempt.number(), id);
+                let waiting = self.waiting.get(&request);
+                let (id, class) = waiting.map_or_else(Default::default, |w| (w.trace.clone(), w.class.0));
+                let write = self.names.writes.get(usize::from(class)).is_some_and(|write| *write);
+                self.upstream.queue(self.now, server.0, attempt.number(), id, write);
             }
             Command::Drop(attempt) => {
                 self.upstream.give_up(self.now, attempt.number(), &mut self.net, &mut self.due);
--- a/src/upstream/lines.rs
+++ b/src/upstream/lines.rs
@@ -119,6 +119,9 @@
     }
 }
 
+/// The words that an answer may have.
+const WORDS: [&str; 10] = ["200", "304", "404", "500", "503", "504", "alive", "dead", "stats", "status"];
+
 /// What reads a connection's answers, each taken whole.
 #[derive(Debug, Default)]
 pub struct Reader {
@@ -180,7 +183,8 @@
                 continue; // the CR LF behind no bytes
             }
             let (answer, length) = head(&line[..end])?;
-            if length == 0 {
+            // A copy of no bytes is believed once the line's end behind it is there: its length may not fit.
+            if length == 0 && answer.word != "200" {
                 return Ok(Some(answer));
             }
             if length > room {
@@ -205,7 +209,7 @@
         _ => return Err(Bad),
     };
     let length: usize = length.parse().map_err(|_| Bad)?;
-    if id.is_empty() || word.is_empty() || length > MOST_BYTES {
+    if id.is_empty() || !WORDS.contains(&word) || length > MOST_BYTES {
         return Err(Bad);
     }
     let pair = |pair: &str| pair.split_once('=').map(|(name, value)| (name.to_owned(), value.to_owned()));
@@ -256,8 +260,10 @@
     #[test]
     fn what_is_no_answer_is_bad() {
         let long = [b"1 200 a=", &[b'x'; 5000][..]].concat();
-        let bad: [&[u8]; 7] = [
+        let bad: [&[u8]; 9] = [
             b"1\r\n",
+            b"1 20x - 0\r\n",
+            b"1 200 - 0\r\nab",
             b"1 200 - x\r\n",
             b"1 200 - 9999999999\r\n",
             b"1 200 a 0\r\n",
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -17,8 +17,16 @@
 const UNHEARD: u32 = 3;
 /// A connection on which jobs wait and nothing was heard for this long is silent, us.
 const SILENT: i64 = 1_200_000;
-/// Connections to one server while silent ones are still there.
-const LINKS: usize = 4;
+/// Connections to one server by lane, silent ones included.
+const LINKS: [usize; 2] = [6, 4];
+/// A further connection is opened beside one that has this many jobs, by lane: an answer that can't be read ends
+/// its connection and all that is open there, so not everything rides on one, and no write beside a read.
+const SPREAD: [usize; 2] = [2, 1];
+/// After a connection did not come up no further one is opened beside others for this long, us: a server that
+/// takes no more of them is not pressed.
+const REST: i64 = 1_000_000;
+/// A connection that is reset before it is up proves nothing of its server: it is tried anew this often.
+const TRIES: u32 = 2;
 /// Ids given up that a connection remembers.
 const GIVEN_UP: usize = 4096;
 /// The part of the servers' idle time after which an idle connection is closed from here: before the peer.
@@ -91,6 +99,7 @@
 /// Where a job is: its server, its id on the wire, and its connection once it is written.
 struct Place {
     host: u32,
+    lane: usize,
     id: String,
     link: Option<ConnKey>,
 }
@@ -99,13 +108,32 @@
     addr: SocketAddr,
     /// Its last start, as the list tells it.
     since: Option<i64>,
+    lanes: [Lane; 2],
+    gone: bool,
+}
+
+/// Reads and writes each have connections of their own.
+#[derive(Default)]
+struct Lane {
     links: Vec<ConnKey>,
     queue: VecDeque<Job>,
-    gone: bool,
+    rest_until: i64,
+    tries: u32,
+}
+
+impl Host {
+    fn links(&self) -> Vec<ConnKey> {
+        self.lanes.iter().flat_map(|lane| lane.links.iter().copied()).collect()
+    }
+
+    fn take_queue(&mut self) -> Vec<Job> {
+        self.lanes.iter_mut().flat_map(|lane| std::mem::take(&mut lane.queue)).collect()
+    }
 }
 
 struct Link {
     host: u32,
+    lane: usize,
     up: bool,
     /// What is open there, by the id on the wire.
     open: HashMap<String, Job>,
@@ -187,15 +215,15 @@
             self.hosts.iter().filter(|(id, h)| **id != host && h.addr == addr).map(|(id, _)| *id).collect();
         for other in others {
             self.close_links(now, other, Reason::Replaced, net, due);
-            if let Some(old) = self.hosts.remove(&other) {
-                old.queue.into_iter().for_each(|job| self.end(now, job, Ending::NotConnected));
+            if let Some(mut old) = self.hosts.remove(&other) {
+                old.take_queue().into_iter().for_each(|job| self.end(now, job, Ending::NotConnected));
             }
         }
         let moved = self.hosts.get(&host).is_some_and(|known| known.addr != addr || known.since != since);
         if moved {
             self.close_links(now, host, Reason::Replaced, net, due);
         }
-        let new = Host { addr, since, links: Vec::new(), queue: VecDeque::new(), gone: false };
+        let new = Host { addr, since, lanes: Default::default(), gone: false };
         let known = self.hosts.entry(host).or_insert(new);
         (known.addr, known.since, known.gone) = (addr, since, false);
     }
@@ -204,7 +232,10 @@
     pub fn remove_host(&mut self, now: i64, host: u32, net: &mut Net, due: &mut dyn Schedule<Due>) {
         let Some(known) = self.hosts.get_mut(&host) else { return };
         known.gone = true;
-        let (queue, links) = (std::mem::take(&mut known.queue), known.links.clone());
+        let (queue, links) = (known.take_queue(), known.links());
+        if links.is_empty() {
+            self.hosts.remove(&host);
+        }
         queue.into_iter().for_each(|job| self.end(now, job, Ending::NotConnected));
         for link in links {
             if self.links.get(&link).is_some_and(|l| l.open.is_empty()) {
@@ -213,22 +244,23 @@
         }
     }
 
-    /// Queues a job for a server under its id on the wire; [`Upstream::dispatch`] writes it.
-    pub fn queue(&mut self, now: i64, host: u32, job: u64, id: String) {
-        self.enqueue(now, host, Job::Fetch(job), id);
+    /// Queues a job for a server under its id on the wire; [`Upstream::dispatch`] writes it. A write shares no
+    /// connection with reads.
+    pub fn queue(&mut self, now: i64, host: u32, job: u64, id: String, write: bool) {
+        self.enqueue(now, host, Job::Fetch(job), id, usize::from(write));
     }
 
     /// Queues a probe.
     pub fn probe(&mut self, now: i64, host: u32) {
         self.probes += 1;
         self.probed.insert(self.probes, now);
-        self.enqueue(now, host, Job::Probe(self.probes), format!("p{}", self.probes));
+        self.enqueue(now, host, Job::Probe(self.probes), format!("p{}", self.probes), 0);
     }
 
-    fn enqueue(&mut self, now: i64, host: u32, job: Job, id: String) {
-        self.jobs.insert(job, Place { host, id, link: None });
+    fn enqueue(&mut self, now: i64, host: u32, job: Job, id: String, lane: usize) {
+        self.jobs.insert(job, Place { host, lane, id, link: None });
         match self.hosts.get_mut(&host).filter(|known| !known.gone) {
-            Some(known) => known.queue.push_back(job),
+            Some(known) => known.lanes[lane].queue.push_back(job),
             None => self.end(now, job, Ending::NotConnected),
         }
     }
@@ -236,10 +268,10 @@
     /// Gives a job up: it is not written, or its server is told to stop; nothing is heard of it any more.
     pub fn give_up(&mut self, now: i64, job: u64, net: &mut Net, due: &mut dyn Schedule<Due>) {
         let id = Job::Fetch(job);
-        let Some(Place { host, id: name, link }) = self.jobs.remove(&id) else { return };
+        let Some(Place { host, lane, id: name, link }) = self.jobs.remove(&id) else { return };
         let Some(key) = link else {
             if let Some(host) = self.hosts.get_mut(&host) {
-                host.queue.retain(|queued| *queued != id);
+                host.lanes[lane].queue.retain(|queued| *queued != id);
             }
             return;
         };
@@ -259,7 +291,7 @@
 
     /// Closes a server's idle connections.
     pub fn close_idle(&mut self, now: i64, host: u32, net: &mut Net, due: &mut dyn Schedule<Due>) {
-        let links = self.hosts.get(&host).map(|known| known.links.clone()).unwrap_or_default();
+        let links = self.hosts.get(&host).map(Host::links).unwrap_or_default();
         for link in links {
             if self.links.get(&link).is_some_and(|l| l.up && l.open.is_empty()) {
                 self.drop_link(now, link, Reason::Idle, net, due);
@@ -283,10 +315,12 @@
         due: &mut S,
         word: &mut dyn FnMut(u64, &mut S) -> Option<Fetch>,
     ) {
-        let waiting: Vec<u32> =
-            self.hosts.iter().filter(|(_, host)| !host.queue.is_empty()).map(|(id, _)| *id).collect();
-        for host in waiting {
-            while self.dispatch_one(now, host, net, due, word) {}
+        let queued = |host: &Host, lane: usize| !host.lanes[lane].queue.is_empty();
+        let hosts = self.hosts.iter().flat_map(|(id, host)| [(*id, 0, host), (*id, 1, host)]);
+        let waiting: Vec<(u32, usize)> =
+            hosts.filter(|(_, lane, host)| queued(host, *lane)).map(|(id, lane, _)| (id, lane)).collect();
+        for (host, lane) in waiting {
+            while self.dispatch_one(now, host, lane, net, due, word) {}
         }
     }
 
@@ -294,27 +328,28 @@
         &mut self,
         now: i64,
         host: u32,
+        lane: usize,
         net: &mut Net,
         due: &mut S,
         word: &mut dyn FnMut(u64, &mut S) -> Option<Fetch>,
     ) -> bool {
-        let Some(known) = self.hosts.get_mut(&host) else { return false };
+        let Some(known) = self.hosts.get_mut(&host).map(|known| &mut known.lanes[lane]) else { return false };
         let Some(job) = known.queue.front().copied() else { return false };
         let Some(Place { id, .. }) = self.jobs.get(&job) else {
             known.queue.pop_front();
             return true;
         };
         let links = || known.links.iter().filter_map(|key| Some((*key, self.links.get(key)?)));
-        let full = known.links.len() >= LINKS;
+        let full = known.links.len() >= LINKS[lane];
         let fits = |link: &Link| link.up && link.open.len() < self.figures.streams && link.takes(id);
         let sound = |link: &Link| fits(link) && (full || !link.silent(now));
         // Only where all written bytes have left: what is written now leaves now, and nothing queues behind
         // bytes that a drain or a purge could overtake.
         let free = |(key, link): &(ConnKey, &Link)| sound(link) && net.unwritten(*key) == 0;
         let best = links().filter(free).min_by_key(|(_, link)| (link.silent(now), link.open.len()));
-        let Some((key, _)) = best else {
-            let coming = links().filter(|(_, link)| !link.up).count();
-            let wanted = known.queue.len().div_ceil(self.figures.streams).min(LINKS);
+        let coming = links().filter(|(_, link)| !link.up).count();
+        let Some((key, link)) = best else {
+            let wanted = known.queue.len().div_ceil(self.figures.streams).min(LINKS[lane]);
             let held = links().any(|(_, link)| sound(link));
             if full && links().all(|(_, link)| !link.takes(id)) {
                 // One id on every connection there is: such a job must not stand before all others for good.
@@ -323,10 +358,11 @@
                 return true;
             }
             if !held && coming < wanted && !full {
-                return self.connect(now, host, net, due) && coming + 1 < wanted;
+                return self.connect(now, host, lane, net, due) && coming + 1 < wanted;
             }
             return false;
         };
+        let more = link.open.len() >= SPREAD[lane] && coming == 0 && !full && known.rest_until <= now;
         known.queue.pop_front();
         let parts = match job {
             Job::Probe(_) => vec![lines::stats(id)],
@@ -338,31 +374,50 @@
                 }
             },
         };
-        if let (Some(place), Some(link)) = (self.jobs.get_mut(&job), self.links.get_mut(&key)) {
+        let before = net.wrote(key);
+        let written = net.write(key, parts);
+        let Some(place) = self.jobs.get_mut(&job) else { return true };
+        if written.is_err() && net.wrote(key) == before {
+            // Not a byte of it has left: it never ran, and goes by another connection.
+            if let Some(known) = self.hosts.get_mut(&host) {
+                known.lanes[lane].queue.push_front(job);
+            }
+        } else if let Some(link) = self.links.get_mut(&key) {
             place.link = Some(key);
             link.open.insert(place.id.clone(), job);
             link.waiting.get_or_insert(now);
             link.idle.take().into_iter().for_each(|handle| due.remove(handle));
         }
-        if let Err(reason) = net.write(key, parts) {
+        if let Err(reason) = written {
             self.drop_link(now, key, reason, net, due);
         }
+        if more {
+            self.connect(now, host, lane, net, due);
+        }
         true
     }
 
-    fn connect(&mut self, now: i64, host: u32, net: &mut Net, due: &mut dyn Schedule<Due>) -> bool {
+    fn connect(
+        &mut self,
+        now: i64,
+        host: u32,
+        lane: usize,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) -> bool {
         let Some(known) = self.hosts.get_mut(&host) else { return false };
         let room = net.count(Role::Upstream) < self.figures.most;
         let Ok(key) =
             (if room { net.connect(now, known.addr, Role::Upstream).map_err(drop) } else { Err(()) })
         else {
-            self.no_link(now, host);
+            self.no_link(now, host, lane);
             return false;
         };
-        known.links.push(key);
+        known.lanes[lane].links.push(key);
         let connect = Some(due.add(now + self.figures.connect_timeout, Due::Connect(key)));
         let link = Link {
             host,
+            lane,
             up: false,
             open: HashMap::new(),
             given_up: HashSet::new(),
@@ -377,8 +432,9 @@
     }
 
     /// A connection failed to come up: what is queued ends unless another may still take it.
-    fn no_link(&mut self, now: i64, host: u32) {
-        let Some(known) = self.hosts.get_mut(&host) else { return };
+    fn no_link(&mut self, now: i64, host: u32, lane: usize) {
+        let Some(known) = self.hosts.get_mut(&host).map(|known| &mut known.lanes[lane]) else { return };
+        known.rest_until = now + REST;
         let hope = |key: &ConnKey| {
             self.links.get(key).is_some_and(|link| if link.up { !link.silent(now) } else { true })
         };
@@ -406,6 +462,9 @@
                 Ok(true) => {
                     link.up = true;
                     link.connect.take().into_iter().for_each(|handle| due.remove(handle));
+                    if let Some(host) = self.hosts.get_mut(&link.host) {
+                        host.lanes[link.lane].tries = 0;
+                    }
                     self.settle(now, key, net, due);
                 }
                 Err(reason) => return self.drop_link(now, key, reason, net, due),
@@ -502,7 +561,7 @@
         net: &mut Net,
         due: &mut dyn Schedule<Due>,
     ) {
-        let links = self.hosts.get(&host).map(|known| known.links.clone()).unwrap_or_default();
+        let links = self.hosts.get(&host).map(Host::links).unwrap_or_default();
         links.into_iter().for_each(|link| self.drop_link(now, link, reason, net, due));
     }
 
@@ -517,16 +576,25 @@
         let Some(link) = self.links.remove(&key) else { return };
         link.connect.into_iter().chain(link.idle).for_each(|handle| due.remove(handle));
         net.close(now, key, reason);
+        let mut again = false;
         if let Some(host) = self.hosts.get_mut(&link.host) {
-            host.links.retain(|known| *known != key);
+            let lane = &mut host.lanes[link.lane];
+            lane.links.retain(|known| *known != key);
+            again = !link.up && reason == Reason::PeerReset && lane.tries < TRIES && !host.gone;
+            lane.tries += u32::from(again);
+            if host.gone && host.links().is_empty() {
+                self.hosts.remove(&link.host);
+            }
         }
         let mut open: Vec<Job> = link.open.into_values().collect();
         open.sort_by_key(|job| match job {
             Job::Fetch(number) | Job::Probe(number) => *number,
         });
         open.into_iter().for_each(|job| self.end(now, job, Ending::Reset));
-        if !link.up {
-            self.no_link(now, link.host);
+        if again {
+            self.connect(now, link.host, link.lane, net, due);
+        } else if !link.up {
+            self.no_link(now, link.host, link.lane);
         }
     }
 
@@ -541,3 +609,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/upstream/tests.rs
@@ -0,0 +1,67 @@
+use super::*;
+use crate::deadlines::Deadlines;
+
+struct Pool {
+    upstream: Upstream,
+    net: Net,
+    due: Deadlines<Due>,
+    _listener: std::net::TcpListener,
+}
+
+/// A pool with one server, which takes connections and says nothing, and one job for it.
+fn pool() -> Pool {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let figures = Figures { connect_timeout: 400_000, idle: 1, streams: 100, most: 9, bytes: 1000 };
+    let (upstream, net) = (Upstream::new(figures), Net::new().expect("a poll"));
+    let mut pool = Pool { upstream, net, due: Deadlines::default(), _listener: listener };
+    let addr = pool._listener.local_addr().expect("an address");
+    pool.upstream.set_host(0, 1, addr, None, &mut pool.net, &mut pool.due);
+    pool.upstream.queue(0, 1, 7, "a".into(), true);
+    pool.dispatch();
+    pool
+}
+
+impl Pool {
+    fn dispatch(&mut self) {
+        self.upstream.dispatch(0, &mut self.net, &mut self.due, &mut |_, _| Some(Fetch::default()));
+    }
+
+    fn link(&self) -> ConnKey {
+        *self.upstream.links.keys().next().expect("a connection")
+    }
+}
+
+/// Such a reset proves nothing: it would have ended the job as not connected, and shut the server.
+#[test]
+fn a_connection_that_is_reset_while_new_is_tried_anew() {
+    let mut pool = pool();
+    for _ in 0..TRIES {
+        let old = pool.link();
+        pool.upstream.drop_link(0, old, Reason::PeerReset, &mut pool.net, &mut pool.due);
+        assert!(pool.link() != old && pool.upstream.happened().is_empty());
+    }
+    let last = pool.link();
+    pool.upstream.drop_link(0, last, Reason::PeerReset, &mut pool.net, &mut pool.due);
+    assert_eq!(pool.upstream.happened(), [Happening::Ended { job: 7, ending: Ending::NotConnected }]);
+}
+
+/// A write that met a connection that had broken unseen would have failed as one that may have run.
+#[test]
+fn a_job_of_which_no_byte_left_goes_by_another_connection() {
+    let mut pool = pool();
+    let old = pool.link();
+    pool.upstream.links.get_mut(&old).expect("it is there").up = true;
+    pool.net.close(0, old, Reason::PeerReset); // as a write finds one that broke
+    pool.dispatch();
+    assert!(pool.upstream.happened().is_empty() && pool.link() != old);
+    assert!(pool.upstream.jobs[&Job::Fetch(7)].link.is_none());
+}
+
+/// With caches replaced all day long, what is kept of each that has gone would grow for good.
+#[test]
+fn a_server_that_is_gone_is_forgotten() {
+    let mut pool = pool();
+    pool.upstream.remove_host(0, 1, &mut pool.net, &mut pool.due);
+    assert_eq!(pool.upstream.happened(), [Happening::Ended { job: 7, ending: Ending::NotConnected }]);
+    assert!(pool.upstream.hosts.is_empty() && pool.upstream.links.is_empty());
+}
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -949,3 +949,33 @@
     }
     assert_eq!(write(&mut bench), bad, "it comes back by its answers");
 }
+
+/// One answer that can't be read ends a connection with all that is open on it. That used to shut the cache, which
+/// crowded the others and got their requests refused.
+#[test]
+fn a_broken_connection_counts_once_and_its_requests_stay_where_the_copies_are() {
+    let mut bench = Bench::new(settings(), fleet());
+    let home = bench.served(7).server;
+    let open: Vec<Get> = (300..340).map(|object| bench.get(object)).collect();
+    let (lost, others): (Vec<Get>, Vec<Get>) = open.into_iter().partition(|get| get.server == home);
+    assert!(lost.len() > 4);
+    let again: Vec<Get> = lost
+        .iter()
+        .map(|get| get_of(&bench.end(get, 0, AttemptResult::Reset, None)).expect("it is sent again"))
+        .collect();
+    for (get, again) in lost.iter().zip(&again) {
+        assert_eq!((again.server, again.source), (get.server, get.source), "neither is to blame");
+    }
+    assert_eq!(bench.served(7).server, home, "and new ones come, too");
+    let elsewhere = get_of(&bench.end(&again[0], 1, AttemptResult::Reset, None)).expect("elsewhere");
+    assert_ne!(elsewhere.server, home, "what breaks twice there is not asked for there a third time");
+    others.iter().for_each(|get| drop(bench.end(get, 0, AttemptResult::Ok, Some(Note::Hit))));
+    // One that breaks again and again is shut all the same.
+    for object in 400..460 {
+        let get = bench.get(object);
+        bench.now += 10 * MS;
+        let result = if get.server == home { AttemptResult::Reset } else { AttemptResult::Ok };
+        bench.end(&get, 0, result, None);
+    }
+    assert!((460..500).all(|object| bench.get(object).server != home));
+}
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -168,6 +168,43 @@
     assert_eq!(client.reply(), (1, served(b"whole")), "and no byte of the broken one");
 }
 
+/// A connection is of no use after an answer that can't be read: what else is open there ends with it, and a
+/// write would have failed for a read's sake.
+#[test]
+fn a_spoilt_answer_takes_no_write_with_it() {
+    let spoilt: [&[u8]; 5] = [
+        b"\xff\xfe\x00noise \r\n",
+        b"7 200 ver=a 3000000000\r\nxx",
+        b"7 2x0 ver=a 2\r\nxx\r\n",
+        b"7 200 ver=a 0\r\nbytes\r\n",
+        &[b'x'; 8192],
+    ];
+    let (cache, _parent, proxy) = single("spoilt");
+    let mut client = Client::new(&proxy);
+    for (i, noise) in (0..).zip(spoilt) {
+        let (write, read) = (2 * i + 1, 2 * i + 2);
+        client.send(&request(write, "result"));
+        let mut open = cache.next();
+        client.send(&request(read, "replay"));
+        let mut first = cache.next();
+        assert_eq!(first.words[1], trace(read));
+        let text = noise.strip_prefix(b"7").map(|rest| [trace(read).as_bytes(), rest].concat());
+        first.raw(&text.unwrap_or(noise.to_vec()));
+        let mut again = cache.next();
+        assert_eq!((&again.words[0][..], &again.words[1]), ("fetch", &trace(read)), "{i}: read anew");
+        again.answer("200", "ver=a", b"whole");
+        assert_eq!(client.reply(), (read, served(b"whole")), "{i}");
+        open.answer("200", "ver=a", b"ran");
+        assert_eq!(client.reply(), (write, served(b"ran")), "{i}");
+        // Without good answers in between, the cache would be left for a while.
+        for seqid in 100 * (i + 1)..100 * (i + 1) + 8 {
+            client.send(&request(seqid, "replay"));
+            cache.next().answer("200", "ver=a", b"x");
+            assert_eq!(client.reply(), (seqid, served(b"x")));
+        }
+    }
+}
+
 fn any(one: &Cache, two: &Cache) -> Got {
     loop {
         if let Some(got) = one.try_next().or_else(|| two.try_next()) {
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -32,6 +32,11 @@
         let _ = self.stream.write_all(&[head.as_bytes(), body, b"\r\n"].concat());
     }
 
+    /// Answers whatever bytes.
+    pub fn raw(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+
     /// Answers the head and half of the bytes, and breaks off.
     pub fn half(&mut self, body: &[u8]) {
         let head = format!("{} 200 ver=a {}\r\n", self.words[1], body.len());
