Count errors against a cache only where another serves the same request

The log of attempts shows request 24.7 of a bad client take six attempts in 1 ms, each an error, and the four caches of that location left; s- was not asked once in the remaining 21 s. Checked with a probe in tests/logic.rs: one such request had all four caches shut, 99 of the next 100 requests refused, and one cache without a trial for 20 s. Lines at fault: learn() booked every Error as the cache's own (failing) and as a fill that failed (fill_share), place() went on up to max_attempts; hash_order() gave a cache that is left a share of e^-3, from which its trial had to come. Ruled out: memory, descriptors (12 usual connections stay), bad clients without an answer ([1140, 0]).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,9 @@
 const FAILING_WEIGHT: f64 = 0.25;
 const FAILING: [f64; 2] = [0.4, 0.1];
 
+/// A request that so many attempts have ended with an error of the cache's own is at fault itself, as likely as not.
+const ERRORS_MOST: usize = 3;
+
 /// Part of its target that a request may be predicted to fill at a cache that has work already.
 const FILL_TARGET: f64 = 0.85;
 /// Part of that room for an object that this router has not seen of late: it likely needs a fill.
@@ -118,6 +121,8 @@
     rescued: bool,
     /// The cache is to blame for how it ended, so it is asked again last.
     blamed: bool,
+    /// It ended with an error of the cache's own, if it is not the request's.
+    erred: bool,
     /// Its connection broke: that says little of the cache, and nothing of the source.
     torn: bool,
     /// The origin failed behind its source: what it holds is not asked for again by this request.
@@ -345,7 +350,9 @@
     /// The ready caches of the own location, the object's home first (rendezvous hash by size).
     fn hash_order(&self, now: Micros, object: Key) -> Vec<ServerId> {
         let middle = self.middle_late();
-        let score = |s: &Server| rendezvous(object, s.member.server, self.capacity(now, s, middle));
+        // One that is due for its trial gets it by its whole share, or it would wait for long.
+        let late = |s: &Server| if s.is_due(now) { f64::INFINITY } else { middle };
+        let score = |s: &Server| rendezvous(object, s.member.server, self.capacity(now, s, late(s)));
         let mut order: Vec<_> = self.caches.iter().map(|id| (score(&self.servers[id]), *id)).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         order.into_iter().map(|(_, id)| id).collect()
@@ -477,6 +484,7 @@
         attempt.behind = o.note == Some(Note::OriginFailed);
         // What broke once is asked for where it was, since the copy is there; what breaks again is not.
         attempt.torn = o.result == AttemptResult::Reset && !again;
+        attempt.erred = o.result == AttemptResult::Error && !by_source;
         attempt.blamed |= !attempt.torn && o.result != AttemptResult::Ok && !by_source && !called_off;
         let (attempt, request) = (attempt.clone(), open.request.clone());
         if !o.result.never_ran() && open.may_have_run.is_none_or(|(first, _)| attempt.sent < first) {
@@ -492,13 +500,21 @@
             self.settle_delegate(now, &request, &attempt, o.result == AttemptResult::Ok);
         }
         let open = &self.open[&o.request];
+        // An error is the cache's own where another serves the same request. What errs everywhere can't be
+        // served, and a client that sends such requests must not get all caches left.
+        if o.result == AttemptResult::Ok {
+            for attempt in open.attempts.iter().filter(|a| a.erred) {
+                self.servers.entry(attempt.server).and_modify(|server| server.fail(now));
+            }
+        }
         if o.finished || open.finished || open.streaming {
             return self.finish(o.request, out);
         }
         if open.attempts.iter().any(|a| a.open) {
             return; // its double may still answer
         }
-        if o.result == AttemptResult::Miss && attempt.held {
+        let hopeless = open.attempts.iter().filter(|a| a.erred).count() >= ERRORS_MOST;
+        if hopeless || (o.result == AttemptResult::Miss && attempt.held) {
             return self.give_up(now, o.request, out);
         }
         let free = attempt.rescued || attempt.torn || (attempt.delegate && o.result == AttemptResult::Miss);
@@ -545,8 +561,9 @@
         let mute = self.settings.notes == Notes::None;
         let filling = !attempt.delegate && attempt.source != attempt.server;
         if filling {
+            let error = o.result == Error && (mute || !attempt.erred);
             let failed =
-                matches!(o.result, Full | Timeout | Error) || (o.result == Cancelled && attempt.rescued);
+                matches!(o.result, Full | Timeout) || error || (o.result == Cancelled && attempt.rescued);
             // What is behind the parent may fail while the parent and the link still give what is held.
             let behind = !attempt.held && (mute || o.note == Some(Note::OriginFailed));
             let spoken = (now - self.share_at).min(FILL_SPEAKS) as f64 / SECOND as f64;
@@ -570,8 +587,8 @@
             smooth(&mut self.mean[usize::from(request.class.0)], own.max(0) as f64);
         }
         if let Some(to) = self.servers.get_mut(&attempt.server) {
-            if o.result != Reset && (attempt.blamed || o.result == Ok) {
-                to.failing += FAILING_WEIGHT * (f64::from(u8::from(o.result == Error)) - to.failing);
+            if o.result == Ok || (attempt.blamed && !matches!(o.result, Error | Reset)) {
+                to.failing -= FAILING_WEIGHT * to.failing;
             }
             match o.result {
                 Ok | Miss | Full => {
@@ -588,12 +605,8 @@
                 // send one: it counts once, as one failure, however many attempts end with it.
                 Reset if to.broke != now => {
                     to.broke = now;
-                    to.failing += FAILING_WEIGHT * (1.0 - to.failing);
-                    if to.failing > FAILING[0] {
-                        to.close(now);
-                    }
+                    to.fail(now);
                 }
-                Error if to.failing > FAILING[0] => to.close(now),
                 _ => {}
             }
             if o.result == Ok {
@@ -703,7 +716,7 @@
         let Some(to) = self.servers.get(&server) else { return false };
         // A write is no trial: where it fails it may have run, and is lost.
         let safe = self.class(&open.request).effect == Effect::Safe;
-        let trial = !to.shut || (safe && to.shut_until <= now && to.out == 0);
+        let trial = !to.shut || (safe && to.is_due(now));
         trial && self.may_send(now, open, server) && !self.cold_full(now, server, open.request.class)
     }
 
@@ -940,6 +953,19 @@
         (self.late, self.shut, self.shut_until) = (LATE_MOST, true, now + TRIAL_EVERY);
     }
 
+    /// Books a failure of its own.
+    fn fail(&mut self, now: Micros) {
+        self.failing += FAILING_WEIGHT * (1.0 - self.failing);
+        if self.failing > FAILING[0] {
+            self.close(now);
+        }
+    }
+
+    /// Whether it is left, and due for a trial.
+    fn is_due(&self, now: Micros) -> bool {
+        self.shut && self.shut_until <= now && self.out == 0
+    }
+
     /// Books the attempts out before their number changes.
     fn look(&mut self, now: Micros, memory: Micros) {
         (self.usual, self.usual_at) = (self.usual_now(now, memory), now);
