--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -482,8 +482,8 @@
         let finished = !self.requests.get(request).is_some_and(|r| matches!(r.state, State::Open));
         let (server, number, source) =
             (attempt.server.0, attempt.number, attempt.get.map(|get| get.source.0));
-        let (elapsed, launched, result) = (now - attempt.sent, attempt.launched, end.result);
-        debug!("{request} attempt {number} at {server} from {source:?}: {result:?} {:?} us={elapsed} left={launched} waited={}", end.note, end.waited);
+        let (us, waited, result, note) = (now - attempt.sent, end.waited, end.result, end.note);
+        debug!("{request} attempt {number} at {server} from {source:?}: {result:?} {note:?} us={us} waited={waited}");
         self.events.push_back(Event::Outcome(Outcome {
             request: attempt.request,
             attempt: attempt.number,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,7 +51,7 @@
 const FAILING_WEIGHT: f64 = 0.25;
 const FAILING: [f64; 2] = [0.4, 0.1];
 
-/// A request that so many attempts have ended with an error of the cache's own is at fault itself, as likely as not.
+/// A request that so many caches have answered with an error is itself at fault, as likely as not.
 const ERRORS_MOST: usize = 3;
 
 /// Part of its target that a request may be predicted to fill at a cache that has work already.
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -974,7 +974,9 @@
     assert_eq!(bench.served(7).server, home, "and new ones come, too");
     let elsewhere = get_of(&bench.end(&again[0], 1, AttemptResult::Reset, None)).expect("elsewhere");
     assert_ne!(elsewhere.server, home, "what breaks twice there is not asked for there a third time");
-    others.iter().for_each(|get| drop(bench.end(get, 0, AttemptResult::Ok, Some(Note::Hit))));
+    for get in &others {
+        bench.end(get, 0, AttemptResult::Ok, Some(Note::Hit));
+    }
     // One that breaks again and again is shut all the same.
     for object in 400..460 {
         let get = bench.get(object);
@@ -989,7 +991,9 @@
 #[test]
 fn what_errs_everywhere_is_the_requests_fault_and_counts_against_no_cache() {
     let mut bench = Bench::new(settings(), fleet());
-    (100..200).for_each(|object| drop(bench.served(object)));
+    for object in 100..200 {
+        bench.served(object);
+    }
     for bad in 0..20 {
         let (_, mut actions) = bench.ask(bad);
         let mut attempts = 0;
