--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -34,6 +34,8 @@
     pub classes: Vec<String>,
     /// Which of them are writes: what may not run twice at will.
     pub writes: Vec<bool>,
+    /// How long a client of each waits at the longest.
+    pub deadlines: Vec<Micros>,
     /// The names of the kinds of machine.
     pub kinds: Vec<String>,
     /// The names of the zones.
@@ -176,6 +178,7 @@
     let names = Names {
         classes: wire.grades.iter().map(|grade| grade.name.clone()).collect(),
         writes: classes.iter().map(|class| class.effect != Effect::Safe).collect(),
+        deadlines: classes.iter().map(|class| class.deadline).collect(),
         kinds: wire.skus.clone(),
         zones: wire.failure_domains.clone(),
         report: wire.report.names.clone(),
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -122,6 +122,16 @@
         );
     }
 
+    /// Makes room for a new connection: ends one on which nothing is open; first those that linger or never asked,
+    /// the longest silent first.
+    pub fn evict(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) -> bool {
+        let idle = self.sessions.iter().filter(|(conn, s)| s.turns.is_empty() && net.unwritten(**conn) == 0);
+        let least = idle.min_by_key(|(conn, s)| (!s.lingers, s.count > 0, s.heard, **conn));
+        let Some(conn) = least.map(|(conn, _)| *conn) else { return false };
+        self.close(now, conn, Reason::Evicted, net, due);
+        true
+    }
+
     /// Whether this connection is a client's.
     pub fn owns(&self, conn: ConnKey) -> bool {
         self.sessions.contains_key(&conn)
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -5,21 +5,33 @@
 
 use crate::deadlines::{Handle, Schedule};
 use crate::net::{ConnKey, Net, Reason};
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use codec::{Method, Reply, PREFIX};
-use log::warn;
-use std::collections::{BTreeMap, HashMap};
+use log::{info, warn};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Requests that may be open on one connection.
 pub const MOST_OPEN: usize = 32;
-/// The longest frame: a write of 48,000 bytes and its fields, with room.
-const MOST_FRAME: usize = 128 * 1024;
+/// The longest body: a write's.
+pub const MOST_BODY: usize = 48_000;
+/// The longest frame: the longest body and its fields, with room.
+const MOST_FRAME: usize = 64 * 1024;
 /// A client that has this many bytes of answers to take is not read from.
 const MOST_UNWRITTEN: usize = 1 << 20;
+/// Messages taken from one connection at a turn: a client at full speed takes its turns like all others.
+const TURN: usize = 8;
+/// How often a connection is looked at, us.
+const LOOK: i64 = 400_000;
 /// A client that takes none of its answer's bytes for this long is closed, us.
 const STALLED: i64 = 10_000_000;
-/// A connection on which nothing is open for this long is closed, us; clients close theirs after 4 s.
-const IDLE: i64 = 30_000_000;
+/// A message must be whole this long after it began, and a first one after its client connected, us: clients are
+/// owed an end within 3 s.
+const WHOLE: i64 = 2_000_000;
+/// A connection on which nothing is open for this long is closed, us. Clients close theirs after 4 s; some that ask
+/// once never would.
+const IDLE: i64 = 6_000_000;
+/// How long a client may take to close after it was told the end, us.
+const LINGER: i64 = 1_000_000;
 
 /// What falls due for a connection: a look whether it stands still.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,22 +75,69 @@
     /// The open requests, and their numbers once they are bound.
     open: HashMap<i32, Option<u64>>,
     look: Option<Handle>,
-    /// Bytes written, and open requests, at the last look.
-    seen: u64,
+    /// Bytes written, and when some were last.
+    wrote: u64,
+    moved: i64,
+    /// When a message came or was answered last.
     heard: i64,
+    /// Since when a message is awaited that has begun, or a first one.
+    begun: Option<i64>,
+    /// It has sent a whole message.
+    asked: bool,
+    /// There may be more to read than its turn allowed.
+    more: bool,
+    /// All is said, and the client is to close: closing first, with its bytes unread, would reset the connection
+    /// and could take the last answers away from it.
+    lingers: Option<i64>,
 }
 
 /// The clients' connections.
 #[derive(Default)]
 pub struct Front {
     sessions: HashMap<ConnKey, Session>,
+    /// Those that have more to read.
+    turns: VecDeque<ConnKey>,
 }
 
 impl Front {
     /// Takes a client's connection in.
     pub fn open(&mut self, now: i64, conn: ConnKey, due: &mut dyn Schedule<Due>) {
-        let look = Some(due.add(now + STALLED, Due(conn)));
-        self.sessions.insert(conn, Session { open: HashMap::new(), look, seen: 0, heard: now });
+        let session = Session {
+            open: HashMap::new(),
+            look: Some(due.add(now + LOOK, Due(conn))),
+            wrote: 0,
+            moved: now,
+            heard: now,
+            begun: Some(now),
+            asked: false,
+            more: false,
+            lingers: None,
+        };
+        self.sessions.insert(conn, session);
+    }
+
+    /// The next connection that has more to read than its last turn allowed.
+    pub fn turn(&mut self) -> Option<ConnKey> {
+        let conn = self.turns.pop_front()?;
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            session.more = false;
+        }
+        Some(conn)
+    }
+
+    /// How many wait for a turn.
+    pub fn turns(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Makes room for a new connection: ends the one that is missed least. First those that were told the end, then
+    /// those that never asked, then those on which nothing is open, the longest so first.
+    pub fn evict(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) -> bool {
+        let idle = self.sessions.iter().filter(|(conn, s)| s.open.is_empty() && net.unwritten(**conn) == 0);
+        let least = idle.min_by_key(|(conn, s)| (s.lingers.is_none(), s.asked, s.heard, **conn));
+        let Some(conn) = least.map(|(conn, _)| *conn) else { return false };
+        self.close(now, conn, Reason::Evicted, net, due);
+        true
     }
 
     /// Whether this connection is a client's.
@@ -140,33 +199,48 @@
     /// A connection may be read from, or written to.
     pub fn ready(&mut self, now: i64, conn: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) -> Vec<Ask> {
         let mut asks = Vec::new();
-        if let Err(reason) = net.flush(conn).and_then(|()| self.read(now, conn, net, &mut asks)) {
-            asks.extend(self.close(now, conn, reason, net, due));
+        if self.sessions.get(&conn).is_some_and(|session| session.lingers.is_some()) {
+            // What still comes is not looked at; its end is all that is waited for.
+            if net.flush(conn).and_then(|()| net.ended(conn)) != Ok(false) {
+                self.close(now, conn, Reason::Done, net, due);
+            }
+            return asks;
+        }
+        match net.flush(conn).and_then(|()| self.read(now, conn, net, &mut asks)) {
+            Ok(()) => {}
+            Err(reason @ (Reason::PeerClosed | Reason::PeerReset)) => {
+                asks.extend(self.close(now, conn, reason, net, due));
+            }
+            Err(reason) => asks.extend(self.end(now, conn, reason, net, due)),
         }
         asks
     }
 
     fn read(&mut self, now: i64, conn: ConnKey, net: &mut Net, asks: &mut Vec<Ask>) -> Result<(), Reason> {
+        let mut taken = 0;
         // Its next read comes with the write event that says that some bytes were taken.
         while net.unwritten(conn) < MOST_UNWRITTEN {
             let got = net.read(conn, MOST_FRAME + PREFIX)?;
-            loop {
-                let frame = net.input(conn, |input| {
-                    let Some(prefix) = input.first_chunk::<PREFIX>() else { return Ok(None) };
-                    let length = i32::from_be_bytes(*prefix);
-                    let length = usize::try_from(length).map_err(|_| Reason::BadMessage)?;
-                    if length > MOST_FRAME {
-                        return Err(Reason::Oversize);
-                    }
-                    if input.len() < PREFIX + length {
-                        return Ok(None);
-                    }
-                    input.advance(PREFIX);
-                    Ok(Some(input.split_to(length).freeze()))
-                });
-                let Some(frame) = frame.transpose()?.flatten() else { break };
+            let mut rest = true;
+            while taken < TURN {
+                let frame = net.input(conn, frame).unwrap_or(Ok(None))?;
+                let Some(frame) = frame else {
+                    rest = false;
+                    break;
+                };
+                taken += 1;
                 self.take(now, conn, frame, net, asks)?;
             }
+            let Some(session) = self.sessions.get_mut(&conn) else { return Ok(()) };
+            let unfinished = net.input(conn, |input| !input.is_empty()).unwrap_or(false);
+            session.begun = if unfinished || !session.asked { session.begun.or(Some(now)) } else { None };
+            if rest || (got.more && taken > 0) {
+                if !session.more {
+                    session.more = true;
+                    self.turns.push_back(conn);
+                }
+                return Ok(());
+            }
             if got.end {
                 return Err(Reason::PeerClosed);
             }
@@ -186,7 +260,7 @@
         asks: &mut Vec<Ask>,
     ) -> Result<(), Reason> {
         let Some(session) = self.sessions.get_mut(&conn) else { return Ok(()) };
-        session.heard = now;
+        (session.heard, session.begun, session.asked) = (now, None, true);
         let call = codec::call(frame).map_err(|codec::Bad(why)| {
             warn!("conn={conn} a message can't be read: {why}");
             Reason::BadMessage
@@ -236,18 +310,49 @@
     pub fn due(&mut self, now: i64, what: Due, net: &mut Net, due: &mut dyn Schedule<Due>) -> Vec<Ask> {
         let Due(conn) = what;
         let Some(session) = self.sessions.get_mut(&conn) else { return Vec::new() };
-        let wrote = net.wrote(conn);
-        let stalled = net.unwritten(conn) > 0 && wrote == session.seen;
-        let idle = session.open.is_empty() && session.heard + IDLE <= now;
-        session.seen = wrote;
-        session.look = Some(due.add(now + STALLED, Due(conn)));
-        match (stalled, idle) {
-            (true, _) => self.close(now, conn, Reason::Stalled, net, due),
-            (false, true) => self.close(now, conn, Reason::Idle, net, due),
-            _ => Vec::new(),
+        session.look = Some(due.add(now + LOOK, Due(conn)));
+        let (wrote, unwritten) = (net.wrote(conn), net.unwritten(conn) > 0);
+        if wrote != session.wrote || !unwritten {
+            (session.wrote, session.moved) = (wrote, now);
+        }
+        let quiet = session.open.is_empty() && !unwritten && !session.more;
+        if session.lingers.is_some_and(|since| since + LINGER <= now) {
+            self.close(now, conn, Reason::Done, net, due)
+        } else if session.moved + STALLED <= now {
+            self.close(now, conn, Reason::Stalled, net, due)
+        } else if session.lingers.is_some() || !quiet {
+            Vec::new() // what is open there is not lost for a message that does not come
+        } else if session.begun.is_some_and(|since| since + WHOLE <= now) {
+            self.end(now, conn, Reason::HeadTimeout, net, due)
+        } else if session.heard + IDLE <= now {
+            self.close(now, conn, Reason::Idle, net, due)
+        } else {
+            Vec::new()
         }
     }
 
+    /// Says the end on a connection from this side; what was open there is over for its client. It is closed once
+    /// the client has closed, or soon.
+    fn end(
+        &mut self,
+        now: i64,
+        conn: ConnKey,
+        reason: Reason,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) -> Vec<Ask> {
+        let Some(session) = self.sessions.get_mut(&conn) else { return Vec::new() };
+        if net.wrote(conn) == 0 {
+            return self.close(now, conn, reason, net, due); // there is no answer to be taken away
+        }
+        info!("conn={conn} is told the end: {}", reason.code());
+        session.lingers = Some(now);
+        let gone = gone(std::mem::take(&mut session.open));
+        net.input(conn, |input| input.clear());
+        net.shutdown(conn);
+        gone
+    }
+
     /// Closes a connection; what was open there is over for its client.
     pub fn close(
         &mut self,
@@ -260,9 +365,7 @@
         let Some(session) = self.sessions.remove(&conn) else { return Vec::new() };
         session.look.into_iter().for_each(|handle| due.remove(handle));
         net.close(now, conn, reason);
-        let mut gone: Vec<u64> = session.open.into_values().flatten().collect();
-        gone.sort_unstable();
-        gone.into_iter().map(Ask::Gone).collect()
+        gone(session.open)
     }
 
     /// Closes all connections.
@@ -272,3 +375,24 @@
         }
     }
 }
+
+/// The next whole frame of what has come.
+fn frame(input: &mut BytesMut) -> Result<Option<Bytes>, Reason> {
+    let Some(prefix) = input.first_chunk::<PREFIX>() else { return Ok(None) };
+    let length = usize::try_from(i32::from_be_bytes(*prefix)).map_err(|_| Reason::BadMessage)?;
+    if length > MOST_FRAME {
+        return Err(Reason::Oversize);
+    }
+    if input.len() < PREFIX + length {
+        return Ok(None);
+    }
+    input.advance(PREFIX);
+    Ok(Some(input.split_to(length).freeze()))
+}
+
+/// What is over with a connection.
+fn gone(open: HashMap<i32, Option<u64>>) -> Vec<Ask> {
+    let mut gone: Vec<u64> = open.into_values().flatten().collect();
+    gone.sort_unstable();
+    gone.into_iter().map(Ask::Gone).collect()
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,8 @@
 
 /// Weight of a new sample in smoothed times and lateness.
 const SMOOTHING: f64 = 0.1;
+/// A class that is never kept sends little: part of its target that its own time is taken for at first.
+const OWN_TIME: f64 = 0.1;
 /// Weight of a fill that never came in its source's smoothed first byte.
 const LOST_WEIGHT: f64 = 0.3;
 /// A source's first byte drifts back to the usual over this long without news, us: then it is tried again.
@@ -182,8 +184,8 @@
     halve_at: Micros,
     upkeep_at: Micros,
     ticking: bool,
-    /// Mean sending time by class, us.
-    mean: Vec<f64>,
+    /// Mean sending time by class, us, and how many samples it has.
+    mean: Vec<(f64, f64)>,
     /// When what was purged last.
     purged: BTreeMap<Purge, Micros>,
     retries: f64,
@@ -199,7 +201,8 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         settings.check()?;
         let own_routers = settings.routers_by_zone[usize::from(settings.zone.0)].max(1);
-        let mean = settings.classes.iter().map(|class| class.target as f64).collect();
+        let own = |class: &Class| if class.never_kept { OWN_TIME } else { 1.0 };
+        let mean = settings.classes.iter().map(|class| (class.target as f64 * own(class), 0.0)).collect();
         Ok(Router {
             random: Pcg64Mcg::seed_from_u64(seed),
             own_routers,
@@ -258,8 +261,7 @@
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
         self.count(key(&request));
         if request.size_kb > 0.0 {
-            let solo = self.solo(&request);
-            smooth(&mut self.mean[usize::from(request.class.0)], solo);
+            self.sample(request.class, self.solo(&request));
         }
         let open = Open {
             request,
@@ -318,7 +320,7 @@
             no_parent_copy: false,
             renew: self.class(request).fresh > 0,
         };
-        let work = self.mean[usize::from(request.class.0)] / SECOND as f64;
+        let work = self.mean[usize::from(request.class.0)].0 / SECOND as f64;
         let (held, delegated) = (only_held || source.is_none(), delegate.is_some());
         let (source, open) = (get.source, true);
         let attempt =
@@ -584,7 +586,7 @@
         // What is never kept is always filled: its own time is what its source did not take.
         let own = if self.class(request).never_kept { o.elapsed - o.waited } else { o.elapsed };
         if o.result == Ok && request.size_kb <= 0.0 && (!filled || self.class(request).never_kept) {
-            smooth(&mut self.mean[usize::from(request.class.0)], own.max(0) as f64);
+            self.sample(request.class, own.max(0) as f64);
         }
         if let Some(to) = self.servers.get_mut(&attempt.server) {
             if o.result == Ok || (attempt.blamed && !matches!(o.result, Error | Reset)) {
@@ -787,7 +789,7 @@
     fn cold_full(&self, now: Micros, server: ServerId, class: ClassId) -> bool {
         let Some(server) = self.servers.get(&server) else { return false };
         let Some(budget) = self.cold_budget(now, server) else { return false };
-        let work = self.mean[usize::from(class.0)] / SECOND as f64;
+        let work = self.mean[usize::from(class.0)].0 / SECOND as f64;
         let sharers = self.sharers(server);
         let share = budget / f64::from(sharers);
         let span = self.settings.rules.fall_span.max(1);
@@ -916,7 +918,14 @@
         if request.size_kb > 0.0 && self.settings.pace_kb_per_s > 0.0 {
             return request.size_kb / self.settings.pace_kb_per_s * SECOND as f64;
         }
-        self.mean[usize::from(request.class.0)]
+        self.mean[usize::from(request.class.0)].0
+    }
+
+    /// Books a class's sending time: the plain mean of the first ones, which say more than a guess.
+    fn sample(&mut self, class: ClassId, time: f64) {
+        let (mean, count) = &mut self.mean[usize::from(class.0)];
+        *count += 1.0;
+        *mean += (1.0 / *count).max(SMOOTHING) * (time - *mean);
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -261,6 +261,20 @@
         got.map(|(more, end)| Got { more, end, bytes })
     }
 
+    /// Whether the peer writes nothing more; what it still wrote is dropped, a piece at a time.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub fn ended(&mut self, key: ConnKey) -> Result<bool, Reason> {
+        let Some(conn) = self.conns.get_mut(key) else { return Err(Reason::PeerReset) };
+        match conn.stream.read(&mut self.scratch) {
+            Ok(n) => Ok(n == 0),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+            Err(_) => Err(Reason::PeerReset),
+        }
+    }
+
     /// The bytes that were read and not used yet, to be used by `with`.
     pub fn input<T>(&mut self, key: ConnKey, with: impl FnOnce(&mut BytesMut) -> T) -> Option<T> {
         let conn = self.conns.get_mut(key)?;
--- a/src/net/reason.rs
+++ b/src/net/reason.rs
@@ -25,6 +25,8 @@
     HeadTimeout,
     /// There are too many connections.
     TooMany,
+    /// It made room for another.
+    Evicted,
     /// Its peer is silent and nothing waits there any more.
     Silent,
     /// Its server is gone, or its address is another server's now.
@@ -50,6 +52,7 @@
             Reason::Stalled => "stalled",
             Reason::HeadTimeout => "head-timeout",
             Reason::TooMany => "too-many",
+            Reason::Evicted => "evicted",
             Reason::Silent => "silent",
             Reason::Replaced => "replaced",
             Reason::Done => "done",
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -27,7 +27,7 @@
 use reload::{Budget, Started};
 use signal_hook::consts::signal::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::time::Duration;
 
@@ -46,6 +46,10 @@
 const STOP_LOOK: Micros = 20_000;
 /// The pause before connections are taken again when descriptors ran out, us.
 const ACCEPT_AGAIN: Micros = 50_000;
+/// Connections taken at a turn, and the pause before the next one, us: hundreds at once wait for each other and not
+/// the others for them.
+const ACCEPTS: usize = 32;
+const ACCEPT_NEXT: Micros = 1_000;
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Core(core::Due),
@@ -145,6 +149,8 @@
     links: Option<Links>,
     seed: u64,
     waiting: HashMap<RequestKey, Waiting>,
+    /// The ids of these requests: servers could not tell two under one id apart.
+    ids: HashSet<String>,
     /// Bytes of the bodies that these requests brought.
     bodies: usize,
     names: Names,
@@ -192,6 +198,7 @@
             links,
             seed: config.seed,
             waiting: HashMap::new(),
+            ids: HashSet::new(),
             bodies: 0,
             due: Deadlines::default(),
             listener,
@@ -222,7 +229,8 @@
         let mut ready = Vec::new();
         while !self.stopped {
             self.now = self.clock.now();
-            let wait = self.due.next().map(|at| Duration::from_micros((at - self.now).max(0) as u64));
+            let next = if self.thrift.turns() > 0 { Some(self.now) } else { self.due.next() };
+            let wait = next.map(|at| Duration::from_micros((at - self.now).max(0) as u64));
             self.net.poll(wait, &mut ready)?;
             self.now = self.clock.now();
             for one in ready.drain(..) {
@@ -233,6 +241,12 @@
                 self.on_due(due);
                 self.pump();
             }
+            // Each that has more to read has one turn, behind all that was ready.
+            for _ in 0..self.thrift.turns() {
+                let Some(conn) = self.thrift.turn() else { break };
+                self.on_ready(Ready::Conn { key: conn, read: true, write: false });
+                self.pump();
+            }
         }
         self.thrift.stop(self.now, &mut self.net, &mut self.due);
         if let Some(links) = &mut self.links {
@@ -308,8 +322,13 @@
 
     fn accept(&mut self) {
         for role in [Role::Thrift, Role::Signed] {
-            while let Some(conn) = self.accept_one(role) {
-                if self.net.count(Role::Thrift) + self.net.count(Role::Signed) > self.budget.clients {
+            for taken in 0.. {
+                if taken == ACCEPTS {
+                    self.due.add(self.now + ACCEPT_NEXT, Due::Accept);
+                    break;
+                }
+                let Some(conn) = self.accept_one(role) else { break };
+                if !self.has_room() {
                     self.net.close(self.now, conn, Reason::TooMany);
                 } else if role == Role::Thrift {
                     self.thrift.open(self.now, conn, &mut self.due);
@@ -320,6 +339,15 @@
         }
     }
 
+    /// Whether clients are within their budget, or one that is missed less than a new one could be ended.
+    fn has_room(&mut self) -> bool {
+        let clients = self.net.count(Role::Thrift) + self.net.count(Role::Signed);
+        let links = self.links.as_mut().map(|links| &mut links.front);
+        clients <= self.budget.clients
+            || self.thrift.evict(self.now, &mut self.net, &mut self.due)
+            || links.is_some_and(|front| front.evict(self.now, &mut self.net, &mut self.due))
+    }
+
     fn accept_one(&mut self, role: Role) -> Option<ConnKey> {
         let links = self.links.as_ref().map(|links| &links.listener);
         let listener = if role == Role::Thrift { Some(&self.listener) } else { links }?;
@@ -456,12 +484,14 @@
 
     fn wait(&mut self, request: RequestKey, waiting: Waiting) {
         self.bodies += waiting.body.len();
+        self.ids.insert(waiting.trace.clone());
         self.waiting.insert(request, waiting);
     }
 
     fn forget(&mut self, request: RequestKey) {
         if let Some(waiting) = self.waiting.remove(&request) {
             self.bodies -= waiting.body.len();
+            self.ids.remove(&waiting.trace);
         }
     }
 
@@ -499,7 +529,12 @@
             match ask {
                 thrift::Ask::Invoke { conn, seqid, fields, body } => {
                     if self.thrift.is_open(conn, seqid) {
-                        self.invoke(conn, seqid, words::form(&fields, &self.names), body);
+                        let form = words::form(&fields, &self.names).and_then(|form| match &form {
+                            _ if body.len() > thrift::MOST_BODY => Err("the body is too long".into()),
+                            form if self.ids.contains(&form.trace) => Err("trace is another's".into()),
+                            _ => Ok(form),
+                        });
+                        self.invoke(conn, seqid, form, body);
                     }
                 }
                 thrift::Ask::Over { conn, seqid, fields } => {
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -9,13 +9,16 @@
 
 /// Descriptors besides clients' and servers' connections: listeners, poll, signals, standard streams, feed.
 const OTHER_SOCKETS: usize = 24;
+/// Usual clients hold up to a third. This part of the rest is for more that connect: so many may say nothing before
+/// one has to go for the next.
+const NEWCOMERS: usize = 4;
 /// Parts of the memory limit: above the first new requests are refused, above the second no answer is kept.
 const FULL: f64 = 0.25;
 const NO_ROOM: f64 = 0.4;
 
 /// What the limits leave for whom.
 pub(super) struct Budget {
-    /// Connections of clients.
+    /// Connections of clients, those that have not asked yet included.
     pub clients: usize,
     /// Connections to servers.
     pub servers: usize,
@@ -29,7 +32,8 @@
     pub fn of(limits: &Limits) -> Self {
         let memory = limits.memory_mb as f64 * 1e6;
         let sockets = limits.sockets.saturating_sub(OTHER_SOCKETS);
-        let clients = limits.sockets.div_ceil(3).min(sockets / 2 + 1);
+        let usual = limits.sockets.div_ceil(3).min(sockets / 2 + 1);
+        let clients = usual + (sockets - usual) / NEWCOMERS;
         let servers = sockets.saturating_sub(clients);
         Budget { clients, servers, requests: (memory * FULL) as usize, answers: (memory * NO_ROOM) as usize }
     }
--- a/src/server/words.rs
+++ b/src/server/words.rs
@@ -10,8 +10,10 @@
 use bytes::Bytes;
 use std::collections::BTreeMap;
 
-/// The longest patience that is taken at its word, ms.
-const MOST_PATIENCE: i64 = 600_000;
+/// The longest patience that is taken at its word, in longest waits of the class.
+const MOST_PATIENCE: Micros = 2;
+/// The groups of objects.
+const GROUPS: u32 = 256;
 
 /// The fields of a client's request, read.
 #[derive(Debug, PartialEq, Eq)]
@@ -59,16 +61,22 @@
         Ok::<_, String>((value, number.ok_or_else(|| format!("{name} is not 16 hex digits"))?))
     };
     let ((trace, _), (item, object)) = (hex("trace")?, hex("entity")?);
-    let patience: i64 = number("patience", needed("patience")?)?;
-    if !(1..=MOST_PATIENCE).contains(&patience) {
+    let patience: Micros = number("patience", needed("patience")?)?;
+    let patience = patience.checked_mul(1000).unwrap_or(0);
+    let most = names.deadlines.get(class).map_or(0, |deadline| MOST_PATIENCE * deadline);
+    if !(1..=most).contains(&patience) {
         return Err("patience is no number of its range".into());
     }
+    let group = field("set").map_or(Ok(0), |value| number("set", value))?;
+    if group >= GROUPS {
+        return Err("set is no number of its range".into());
+    }
     Ok(Form {
         class: ClassId(class as u16),
         object: ObjectId(object),
         part: field("slice").map_or(Ok(0), |value| number("slice", value))?,
-        group: GroupId(field("set").map_or(Ok(0), |value| number("set", value))?),
-        patience: patience * 1000,
+        group: GroupId(group),
+        patience,
         trace: trace.to_owned(),
         item: item.to_owned(),
         seen: field("seen").map(str::to_owned),
--- a/src/server/words/tests.rs
+++ b/src/server/words/tests.rs
@@ -4,7 +4,8 @@
 use crate::core::Copy;
 
 fn names() -> Names {
-    Names { classes: vec!["replay".into(), "piece".into()], ..Names::default() }
+    let classes = vec!["replay".into(), "piece".into()];
+    Names { classes, deadlines: vec![6_000_000, 3_000_000], ..Names::default() }
 }
 
 fn fields(changes: &[(&str, Option<&str>)]) -> BTreeMap<String, String> {
@@ -47,8 +48,13 @@
         ("patience", Some("0")),
         ("patience", Some("-5")),
         ("patience", Some("99999999999999999999")),
+        ("patience", Some("9999999999999999")),
+        ("patience", Some("6001")),
+        ("patience", Some("NaN")),
         ("slice", Some("-1")),
+        ("slice", Some("4294967296")),
         ("set", Some("x")),
+        ("set", Some("256")),
     ] {
         let error = form(&fields(&[(name, value)]), &names()).expect_err("no form");
         assert!(error.contains(name), "{name} {value:?}: {error}");
--- a/src/upstream/lines.rs
+++ b/src/upstream/lines.rs
@@ -142,6 +142,11 @@
         self.head.as_ref().filter(|_| self.skip == 0).map_or(0, |(_, length)| length + 2)
     }
 
+    /// Whether an answer's bytes are still to come.
+    pub fn is_midway(&self) -> bool {
+        self.head.is_some()
+    }
+
     /// The next whole answer of what has come. An answer longer than `room` bytes is let go as it comes.
     ///
     /// # Errors
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -13,10 +13,15 @@
 const INPUT: usize = 64 * 1024;
 /// A whole line must fit, or its connection would be read for ever without coming further.
 const _: () = assert!(INPUT > 2 * lines::LONGEST_LINE);
-/// A connection on which this many jobs in a row were given up unanswered is not to be trusted.
+/// A connection on which this many jobs in a row were given up unanswered is not to be trusted, if each had waited
+/// this long, us: clients that leave at once by the hundred say nothing of a server.
 const UNHEARD: u32 = 3;
+const UNHEARD_AFTER: i64 = 300_000;
 /// A connection on which jobs wait and nothing was heard for this long is silent, us.
 const SILENT: i64 = 1_200_000;
+/// An answer that has begun and of which nothing more comes for this long has stopped short, us: its connection is
+/// of no use, and what else is open there would wait for nothing.
+const STOPPED: i64 = 600_000;
 /// Connections to one server by lane, silent ones included.
 const LINKS: [usize; 2] = [6, 4];
 /// A further connection is opened beside one that has this many jobs, by lane: an answer that can't be read ends
@@ -39,6 +44,8 @@
     Connect(ConnKey),
     /// It has been idle for too long.
     Idle(ConnKey),
+    /// Nothing more of an answer came.
+    Stopped(ConnKey),
 }
 
 /// How a job ended.
@@ -102,6 +109,7 @@
     lane: usize,
     id: String,
     link: Option<ConnKey>,
+    written: i64,
 }
 
 struct Host {
@@ -145,6 +153,8 @@
     unheard: u32,
     connect: Option<Handle>,
     idle: Option<Handle>,
+    /// Hung while an answer has come in part.
+    part: Option<Handle>,
 }
 
 impl Link {
@@ -258,7 +268,7 @@
     }
 
     fn enqueue(&mut self, now: i64, host: u32, job: Job, id: String, lane: usize) {
-        self.jobs.insert(job, Place { host, lane, id, link: None });
+        self.jobs.insert(job, Place { host, lane, id, link: None, written: now });
         match self.hosts.get_mut(&host).filter(|known| !known.gone) {
             Some(known) => known.lanes[lane].queue.push_back(job),
             None => self.end(now, job, Ending::NotConnected),
@@ -268,7 +278,7 @@
     /// Gives a job up: it is not written, or its server is told to stop; nothing is heard of it any more.
     pub fn give_up(&mut self, now: i64, job: u64, net: &mut Net, due: &mut dyn Schedule<Due>) {
         let id = Job::Fetch(job);
-        let Some(Place { host, lane, id: name, link }) = self.jobs.remove(&id) else { return };
+        let Some(Place { host, lane, id: name, link, written }) = self.jobs.remove(&id) else { return };
         let Some(key) = link else {
             if let Some(host) = self.hosts.get_mut(&host) {
                 host.lanes[lane].queue.retain(|queued| *queued != id);
@@ -277,7 +287,7 @@
         };
         let Some(link) = self.links.get_mut(&key) else { return };
         link.open.remove(&name);
-        link.unheard += 1;
+        link.unheard += u32::from(written + UNHEARD_AFTER <= now);
         let abort = lines::abort(&name);
         if link.given_up.len() >= GIVEN_UP {
             link.given_up.clear(); // whose answers would be late by more than any deadline
@@ -383,7 +393,7 @@
                 known.lanes[lane].queue.push_front(job);
             }
         } else if let Some(link) = self.links.get_mut(&key) {
-            place.link = Some(key);
+            (place.link, place.written) = (Some(key), now);
             link.open.insert(place.id.clone(), job);
             link.waiting.get_or_insert(now);
             link.idle.take().into_iter().for_each(|handle| due.remove(handle));
@@ -426,6 +436,7 @@
             unheard: 0,
             connect,
             idle: None,
+            part: None,
         };
         self.links.insert(key, link);
         true
@@ -479,6 +490,10 @@
             if let Err(reason) = self.read(now, key, net) {
                 return self.drop_link(now, key, reason, net, due);
             }
+            let Some(link) = self.links.get_mut(&key) else { return };
+            let part = link.reader.is_midway() || net.input(key, |input| !input.is_empty()).unwrap_or(false);
+            link.part.take().into_iter().for_each(|handle| due.remove(handle));
+            link.part = part.then(|| due.add(now + STOPPED, Due::Stopped(key)));
             self.settle(now, key, net, due);
         }
     }
@@ -526,6 +541,12 @@
                     self.drop_link(now, key, Reason::ConnectTimeout, net, due);
                 }
             }
+            Due::Stopped(key) => {
+                if let Some(link) = self.links.get_mut(&key) {
+                    link.part = None;
+                    self.drop_link(now, key, Reason::Stalled, net, due);
+                }
+            }
             Due::Idle(key) => {
                 if let Some(link) = self.links.get_mut(&key).filter(|link| link.open.is_empty()) {
                     link.idle = None;
@@ -574,7 +595,7 @@
         due: &mut dyn Schedule<Due>,
     ) {
         let Some(link) = self.links.remove(&key) else { return };
-        link.connect.into_iter().chain(link.idle).for_each(|handle| due.remove(handle));
+        link.connect.into_iter().chain(link.idle).chain(link.part).for_each(|handle| due.remove(handle));
         net.close(now, key, reason);
         let mut again = false;
         if let Some(host) = self.hosts.get_mut(&link.host) {
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -65,3 +65,41 @@
     assert_eq!(pool.upstream.happened(), [Happening::Ended { job: 7, ending: Ending::NotConnected }]);
     assert!(pool.upstream.hosts.is_empty() && pool.upstream.links.is_empty());
 }
+
+/// A connection on which nothing is answered gets no new work; what left it at once says nothing.
+#[test]
+fn only_jobs_that_waited_make_a_connection_silent() {
+    for (waited, silent) in [(UNHEARD_AFTER, true), (UNHEARD_AFTER - 1, false)] {
+        let mut pool = pool();
+        let key = pool.link();
+        for job in 0..u64::from(UNHEARD) {
+            pool.upstream.links.get_mut(&key).expect("it is there").up = true;
+            if job > 0 {
+                pool.upstream.queue(0, 1, 7 + job, format!("a{job}"), true);
+            }
+            pool.dispatch();
+        }
+        for job in 0..u64::from(UNHEARD) {
+            pool.upstream.give_up(waited, 7 + job, &mut pool.net, &mut pool.due);
+        }
+        assert_eq!(!pool.upstream.links.contains_key(&key), silent, "after {waited} us");
+    }
+}
+
+/// An answer that stops short leaves its connection open: all that is open there would wait for nothing.
+#[test]
+fn a_connection_whose_answer_stops_short_is_ended() {
+    let mut pool = pool();
+    let (mut peer, _) = pool._listener.accept().expect("a connection");
+    std::io::Write::write_all(&mut peer, b"a 200 ver=a 9\r\nhalf").expect("written");
+    let (key, mut ready) = (pool.link(), Vec::new());
+    while pool.upstream.links[&key].part.is_none() {
+        pool.net.poll(None, &mut ready).expect("a poll");
+        pool.upstream.ready(0, key, true, true, &mut pool.net, &mut pool.due);
+        pool.dispatch();
+    }
+    let due = pool.due.pop(STOPPED).expect("a deadline");
+    assert_eq!(due, Due::Stopped(key));
+    pool.upstream.due(STOPPED, due, &mut pool.net, &mut pool.due);
+    assert_eq!(pool.upstream.happened(), [Happening::Ended { job: 7, ending: Ending::Reset }]);
+}
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -915,6 +915,22 @@
     }
 }
 
+/// Until its first answer a write was taken for as long as its whole target, and refused in every day's first seconds.
+#[test]
+fn a_write_at_the_very_start_is_not_held_for_a_crowd() {
+    let mut told = settings();
+    (told.classes[0].never_kept, told.classes[0].stretch) = (true, 0.0);
+    let mut list = fleet();
+    list.iter_mut().for_each(|member| member.weight = 2.0);
+    let mut bench = Bench::new(told, list);
+    for _ in 0..5 {
+        bench.next += 1;
+        let write = Request { size_kb: 0.0, ..request(bench.next, 7) };
+        let actions = bench.event(Event::Request(write));
+        assert!(get_of(&actions).is_some(), "{actions:?}");
+    }
+}
+
 #[test]
 fn a_cache_that_mostly_errs_is_left_with_trials_that_are_no_writes() {
     // Fast errors kept their place as home: each cost a further attempt, and a write that erred was lost.
