Send each write by a fresh connection of its own that has stood 3 ms

The log shows them reset 50 to 130 us after they were written, on connections that had answered before and rested (read=106 or more), or at age 0. Servers there close unused connections after 820 ms, not after conn_idle (age_ms=820 read=0 wrote=0). Lines at fault: upstream dispatch_one() took any connection that was up, settle() believed conn_idle. Reads stay as they are: a reset one is asked for again. Ruled out: writes cut off with reads (lanes), late ones (their connections stay).

--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -23,10 +23,10 @@
 /// of no use, and what else is open there would wait for nothing.
 const STOPPED: i64 = 600_000;
 /// Connections to one server by lane, silent ones included.
-const LINKS: [usize; 2] = [6, 4];
-/// A further connection is opened beside one that has this many jobs, by lane: an answer that can't be read ends
-/// its connection and all that is open there, so not everything rides on one, and no write beside a read.
-const SPREAD: [usize; 2] = [2, 1];
+const LINKS: [usize; 2] = [6, 8];
+/// A further connection is opened beside one that has this many reads: an answer that can't be read ends its
+/// connection and all that is open there, so not everything rides on one, and no write beside a read.
+const SPREAD: usize = 2;
 /// After a connection did not come up no further one is opened beside others for this long, us: a server that
 /// takes no more of them is not pressed.
 const REST: i64 = 1_000_000;
@@ -34,6 +34,13 @@
 const TRIES: u32 = 2;
 /// Ids given up that a connection remembers.
 const GIVEN_UP: usize = 4096;
+/// A write goes by a connection of its own that has stood this long, us: on one that is reset while new, or that its
+/// server gives up at the moment of its next use, it may have run and has failed.
+const PROVEN: i64 = 3_000;
+/// A connection for a write that is not needed any more is closed after this long, us.
+const RESTED: i64 = 250_000;
+/// The shortest idle time of servers that is believed, us; some close sooner than the settings say.
+const LEAST_IDLE: i64 = 300_000;
 /// The part of the servers' idle time after which an idle connection is closed from here: before the peer.
 const IDLE_PART: f64 = 0.6;
 
@@ -46,6 +53,8 @@
     Idle(ConnKey),
     /// Nothing more of an answer came.
     Stopped(ConnKey),
+    /// It has stood for a while.
+    Proven,
 }
 
 /// How a job ended.
@@ -151,6 +160,10 @@
     /// Since when something waits there with nothing heard.
     waiting: Option<i64>,
     unheard: u32,
+    /// When it came up, whether it has had a job, and since when nothing is open there.
+    since: i64,
+    used: bool,
+    rests: i64,
     connect: Option<Handle>,
     idle: Option<Handle>,
     /// Hung while an answer has come in part.
@@ -162,6 +175,11 @@
         !self.open.contains_key(id) && !self.given_up.contains(id)
     }
 
+    /// Whether a write may go there.
+    fn is_sure(&self, now: i64) -> bool {
+        self.since + PROVEN <= now && !self.used
+    }
+
     fn silent(&self, now: i64) -> bool {
         self.unheard >= UNHEARD || self.waiting.is_some_and(|since| now - since > SILENT)
     }
@@ -352,6 +370,8 @@
         let links = || known.links.iter().filter_map(|key| Some((*key, self.links.get(key)?)));
         let full = known.links.len() >= LINKS[lane];
         let fits = |link: &Link| link.up && link.open.len() < self.figures.streams && link.takes(id);
+        // Where there can't be more, writes share.
+        let fits = |link: &Link| fits(link) && (lane == 0 || full || link.is_sure(now));
         let sound = |link: &Link| fits(link) && (full || !link.silent(now));
         // Only where all written bytes have left: what is written now leaves now, and nothing queues behind
         // bytes that a drain or a purge could overtake.
@@ -360,8 +380,9 @@
         let coming = links().filter(|(_, link)| !link.up).count();
         let Some((key, link)) = best else {
             let wanted = known.queue.len().div_ceil(self.figures.streams).min(LINKS[lane]);
-            let held = links().any(|(_, link)| sound(link));
-            if full && links().all(|(_, link)| !link.takes(id)) {
+            let soon = |link: &Link| lane == 1 && link.up && now < link.since + PROVEN;
+            let held = links().any(|(_, link)| sound(link) || soon(link));
+            if full && links().all(|(_, link)| !link.takes(id) && lane == 0) {
                 // One id on every connection there is: such a job must not stand before all others for good.
                 known.queue.pop_front();
                 self.end(now, job, Ending::Unsent);
@@ -372,7 +393,7 @@
             }
             return false;
         };
-        let more = link.open.len() >= SPREAD[lane] && coming == 0 && !full && known.rest_until <= now;
+        let more = lane == 0 && link.open.len() >= SPREAD && coming == 0 && !full && known.rest_until <= now;
         known.queue.pop_front();
         let parts = match job {
             Job::Probe(_) => vec![lines::stats(id)],
@@ -394,6 +415,7 @@
             }
         } else if let Some(link) = self.links.get_mut(&key) {
             (place.link, place.written) = (Some(key), now);
+            link.used = true;
             link.open.insert(place.id.clone(), job);
             link.waiting.get_or_insert(now);
             link.idle.take().into_iter().for_each(|handle| due.remove(handle));
@@ -434,6 +456,9 @@
             reader: Reader::default(),
             waiting: None,
             unheard: 0,
+            since: now,
+            used: false,
+            rests: now,
             connect,
             idle: None,
             part: None,
@@ -472,6 +497,10 @@
                 Ok(false) => return,
                 Ok(true) => {
                     link.up = true;
+                    (link.since, link.rests) = (now, now);
+                    if link.lane == 1 {
+                        due.add(now + PROVEN, Due::Proven);
+                    }
                     link.connect.take().into_iter().for_each(|handle| due.remove(handle));
                     if let Some(host) = self.hosts.get_mut(&link.host) {
                         host.lanes[link.lane].tries = 0;
@@ -541,6 +570,7 @@
                     self.drop_link(now, key, Reason::ConnectTimeout, net, due);
                 }
             }
+            Due::Proven => {} // what waits for it is written by the next dispatch
             Due::Stopped(key) => {
                 if let Some(link) = self.links.get_mut(&key) {
                     link.part = None;
@@ -567,9 +597,13 @@
         if link.silent(now) {
             return self.drop_link(now, key, Reason::Silent, net, due);
         }
+        if link.lane == 1 && link.used {
+            return self.drop_link(now, key, Reason::Done, net, due);
+        }
         link.waiting = None;
         if link.idle.is_none() {
-            let idle = (self.figures.idle as f64 * IDLE_PART) as i64;
+            link.rests = now;
+            let idle = if link.lane == 1 { RESTED } else { (self.figures.idle as f64 * IDLE_PART) as i64 };
             link.idle = Some(due.add(now + idle, Due::Idle(key)));
         }
     }
@@ -597,6 +631,9 @@
         let Some(link) = self.links.remove(&key) else { return };
         link.connect.into_iter().chain(link.idle).chain(link.part).for_each(|handle| due.remove(handle));
         net.close(now, key, reason);
+        if reason == Reason::PeerClosed && link.up && link.open.is_empty() {
+            self.figures.idle = self.figures.idle.min((now - link.rests).max(LEAST_IDLE));
+        }
         let mut again = false;
         if let Some(host) = self.hosts.get_mut(&link.host) {
             let lane = &mut host.lanes[link.lane];
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -10,13 +10,17 @@
 
 /// A pool with one server, which takes connections and says nothing, and one job for it.
 fn pool() -> Pool {
+    pool_of(false)
+}
+
+fn pool_of(write: bool) -> Pool {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let figures = Figures { connect_timeout: 400_000, idle: 1, streams: 100, most: 9, bytes: 1000 };
     let (upstream, net) = (Upstream::new(figures), Net::new().expect("a poll"));
     let mut pool = Pool { upstream, net, due: Deadlines::default(), _listener: listener };
     let addr = pool._listener.local_addr().expect("an address");
     pool.upstream.set_host(0, 1, addr, None, &mut pool.net, &mut pool.due);
-    pool.upstream.queue(0, 1, 7, "a".into(), true);
+    pool.upstream.queue(0, 1, 7, "a".into(), write);
     pool.dispatch();
     pool
 }
@@ -75,7 +79,7 @@
         for job in 0..u64::from(UNHEARD) {
             pool.upstream.links.get_mut(&key).expect("it is there").up = true;
             if job > 0 {
-                pool.upstream.queue(0, 1, 7 + job, format!("a{job}"), true);
+                pool.upstream.queue(0, 1, 7 + job, format!("a{job}"), false);
             }
             pool.dispatch();
         }
@@ -103,3 +107,37 @@
     pool.upstream.due(STOPPED, due, &mut pool.net, &mut pool.due);
     assert_eq!(pool.upstream.happened(), [Happening::Ended { job: 7, ending: Ending::Reset }]);
 }
+
+/// A write on a connection that is reset while new, or that its server gives up as idle at that moment, may have run
+/// and has failed: it waits for one that has stood, and takes none that was used.
+#[test]
+fn a_write_goes_by_a_connection_of_its_own_that_has_stood() {
+    let mut pool = pool_of(true);
+    let first = pool.link();
+    pool.upstream.links.get_mut(&first).expect("it is there").up = true;
+    let mut at = |now: i64, job: u64| {
+        if job > 7 {
+            pool.upstream.queue(now, 1, job, format!("a{job}"), true);
+        }
+        pool.upstream.dispatch(now, &mut pool.net, &mut pool.due, &mut |_, _| Some(Fetch::default()));
+        pool.upstream.jobs[&Job::Fetch(job)].link
+    };
+    assert_eq!((at(PROVEN - 1, 7), at(PROVEN, 7)), (None, Some(first)));
+    assert_eq!(at(PROVEN, 8), None);
+    assert_eq!(pool.upstream.links.len(), 2);
+    pool.upstream.links.get_mut(&first).expect("it is there").open.clear();
+    pool.upstream.settle(PROVEN, first, &mut pool.net, &mut pool.due);
+    assert!(!pool.upstream.links.contains_key(&first), "it is closed once its write is answered");
+}
+
+/// Some servers close idle connections far sooner than the settings say.
+#[test]
+fn idle_connections_are_closed_before_the_servers_that_were_seen_to() {
+    let mut pool = pool();
+    let key = pool.link();
+    let link = pool.upstream.links.get_mut(&key).expect("it is there");
+    (link.up, link.rests) = (true, 0);
+    pool.upstream.figures.idle = 15_000_000;
+    pool.upstream.drop_link(820_000, key, Reason::PeerClosed, &mut pool.net, &mut pool.due);
+    assert_eq!(pool.upstream.figures.idle, 820_000);
+}
