Forget servers that are gone in the names, the states and the module

Checked: launch() takes an unknown server as not ready; the module indexes ready servers only. A test for the names and one for the module fail without it.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -369,6 +369,7 @@
             self.states.clear();
         }
         self.states.extend(entries.iter().map(|member| (member.server, member.state)));
+        self.states.retain(|_, state| *state != ServerState::Gone); // unknown is as good as gone
         self.events.push_back(Event::Members { kind, entries });
         self.run(now, due);
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -448,6 +448,11 @@
         self.finish(id, out);
     }
 
+    /// How many servers are kept in mind: those listed, and those gone on which attempts are still out.
+    pub fn known(&self) -> usize {
+        self.servers.len()
+    }
+
     /// How long a client of the class should stay away that is refused; 0: no advice.
     pub fn advice(&self, class: ClassId) -> Micros {
         let target = self.settings.classes.get(usize::from(class.0)).map_or(0, |class| class.target);
@@ -888,6 +893,7 @@
         }
         let kept = 2 * self.settings.rules.purge_settles;
         self.purged.retain(|_, at| *at + kept > now);
+        self.servers.retain(|_, s| s.member.state != ServerState::Gone || s.out > 0);
         let since = now - self.settings.rules.fall_span;
         for server in self.servers.values_mut() {
             while server.sends.front().is_some_and(|(at, _)| *at <= since) {
--- a/src/server/members.rs
+++ b/src/server/members.rs
@@ -38,6 +38,13 @@
         id
     }
 
+    /// Forgets a server that is gone: with new ones all day long, names would grow for good.
+    pub fn forget(&mut self, server: ServerId) {
+        if let Some(name) = self.names.remove(&server) {
+            self.ids.remove(&name);
+        }
+    }
+
     /// An entry of the list in the module's words.
     pub fn member(&mut self, host: &Host, names: &Names) -> Member {
         let place = |list: &[String], name: &str| {
@@ -58,3 +65,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_server_that_was_forgotten_leaves_nothing_and_may_come_back() {
+        let mut members = Members::default();
+        let id = members.id("s-00c41f7a");
+        assert_eq!((members.name(id), id), (Some("s-00c41f7a"), ServerId(0x00c4_1f7a)));
+        members.forget(id);
+        assert!(members.ids.is_empty() && members.names.is_empty());
+        assert_eq!(members.id("s-00c41f7a"), id);
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -599,7 +599,10 @@
                     entries.push(member);
                 }
                 let kind = if change.whole { ListKind::Full } else { ListKind::Delta };
+                let gone: Vec<ServerId> =
+                    entries.iter().filter(|m| m.state == ServerState::Gone).map(|m| m.server).collect();
                 self.core.members(self.now, kind, entries, &mut self.due);
+                gone.into_iter().for_each(|server| self.members.forget(server));
             }
             if let Some(purge) = purge {
                 let object = purge.key.as_deref().map(|key| u64::from_str_radix(key, 16));
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -1035,3 +1035,18 @@
     bench.now += SECOND;
     assert_eq!(bench.get(own).server, home);
 }
+
+/// With caches replaced all day long, what is kept of each that has gone would grow for good.
+#[test]
+fn a_server_that_is_gone_is_forgotten_once_nothing_is_out_there() {
+    let mut bench = Bench::new(settings(), fleet());
+    let get = bench.get(7);
+    let home = fleet().into_iter().find(|m| m.server == get.server).expect("it is listed");
+    bench.list(ListKind::Delta, vec![Member { state: ServerState::Gone, ..home }]);
+    bench.pass(2 * SECOND);
+    assert_eq!(bench.router.known(), fleet().len(), "its attempt is still out");
+    bench.end(&get, 0, AttemptResult::Ok, Some(Note::Hit));
+    bench.get(8);
+    bench.pass(2 * SECOND);
+    assert_eq!(bench.router.known(), fleet().len() - 1);
+}
