--- a/tests/sockets/links.rs
+++ b/tests/sockets/links.rs
@@ -44,6 +44,10 @@
 }
 
 fn site_by(name: &str, operator: &str) -> Site {
+    site_with(name, operator, str::to_owned)
+}
+
+fn site_with(name: &str, operator: &str, change: impl Fn(&str) -> String) -> Site {
     let folder = folder(name);
     let file = folder.join("signed.toml");
     std::fs::write(&file, operator).expect("a file");
@@ -51,7 +55,7 @@
     std::fs::write(folder.join("tables.secret"), "Dw4NDAsKCQgHBgUEAwIBAA\n").expect("a file");
     let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
     let more = ["--signed", file.to_str().expect("a path")];
-    let proxy = Proxy::start(name, &[&cache, &parent], str::to_owned, &more);
+    let proxy = Proxy::start(name, &[&cache, &parent], change, &more);
     let addr = proxy.logged("links are served on ").parse().expect("an address");
     Site { cache, _parent: parent, proxy, addr, file }
 }
@@ -355,3 +359,20 @@
     fill.answer("200", "ver=a", b"y");
     assert_eq!(waits.answer().body, b"y", "what was let in stays");
 }
+
+/// Connections that say nothing must not keep out who has a link, nor end one that waits for its answer.
+#[test]
+fn a_flood_of_connections_makes_room_for_a_link() {
+    let site = site_with("link-flood", OPERATOR, |c| c.replace("\"sockets\":1024", "\"sockets\":64"));
+    let (mut old, path) = (site.client(), site.replay(1, now() + 1000));
+    old.get(&path);
+    let mut open = site.cache.next();
+    let flood: Vec<Client> = (0..100).map(|_| site.client()).collect();
+    let mut new = site.client();
+    new.get(&site.replay(2, now() + 1000));
+    site.cache.next().answer("200", "ver=a", b"new");
+    assert_eq!(new.answer().body, b"new");
+    open.answer("200", "ver=a", b"old");
+    assert_eq!(old.answer().body, b"old");
+    drop(flood);
+}
