Add the operators' door: /healthcheck and /stats on an address of its own

Built: front::admin (httparse, one call per connection, eight callers, the longest silent evicted, its events sorted ahead of clients'), front::http (heads shared with front::signed), counters in core (final answers), upstream (attempts whole), module (whom it avoids), worded in server::figures.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -53,6 +53,8 @@
     seed: String,
     limits: Limits,
     feed: SocketAddr,
+    #[serde(default)]
+    admin: Option<SocketAddr>,
     known: events::Batch,
     settings: serde_json::Value,
 }
@@ -70,6 +72,8 @@
     pub limits: Limits,
     /// Where the control feed listens.
     pub feed: SocketAddr,
+    /// Where operators' calls are taken, which is off without it.
+    pub admin: Option<SocketAddr>,
     /// The control feed's events up to the start.
     pub known: events::Batch,
     /// The settings of the decision module, and the names that go with them.
@@ -103,8 +107,8 @@
         if settings.names.classes.iter().any(String::is_empty) {
             return Err("settings: a class has no name".into());
         }
-        let Wire { name, listen, limits, feed, known, .. } = wire;
-        Ok(Config { name, listen, seed, limits, feed, known, settings })
+        let Wire { name, listen, limits, feed, admin, known, .. } = wire;
+        Ok(Config { name, listen, seed, limits, feed, admin, known, settings })
     }
 }
 
@@ -115,6 +119,8 @@
     pub config: PathBuf,
     /// The operator's file of the second front, which is off without it.
     pub signed: Option<PathBuf>,
+    /// PROXY_ADMIN: where operators' calls are taken, whatever the configuration says.
+    pub admin: Option<SocketAddr>,
 }
 
 impl Files {
@@ -125,7 +131,8 @@
     /// A file that cannot be read or used.
     pub fn read(&self) -> Result<(Config, Option<signed::Signed>), ConfigError> {
         let signed = self.signed.as_deref().map(signed::Signed::read).transpose()?;
-        Ok((Config::read(&self.config)?, signed))
+        let config = Config::read(&self.config)?;
+        Ok((Config { admin: self.admin.or(config.admin), ..config }, signed))
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -79,6 +79,27 @@
     Denied,
 }
 
+/// The final answers that a class's requests got.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Answered {
+    /// Served.
+    pub success: u64,
+    /// Refused.
+    pub overload: u64,
+    /// Failed or denied.
+    pub error: u64,
+}
+
+impl Answered {
+    fn count(&mut self, answer: &Final) {
+        match answer {
+            Final::Served(_) => self.success += 1,
+            Final::Refused { .. } => self.overload += 1,
+            Final::Failed { .. } | Final::Denied => self.error += 1,
+        }
+    }
+}
+
 /// How an attempt ended, as the upstream side saw it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct End {
@@ -191,6 +212,8 @@
     commands: VecDeque<Command>,
     /// Bytes of copies whose answers have not begun.
     held: usize,
+    /// By class; a request that its client abandons before its answer begins is in none.
+    answered: Vec<Answered>,
 }
 
 impl Core {
@@ -211,6 +234,7 @@
             actions: Vec::new(),
             commands: VecDeque::new(),
             held: 0,
+            answered: Vec::new(),
         })
     }
 
@@ -288,13 +312,39 @@
         }
     }
 
-    /// The answer has begun: the request is over, and nothing changes its answer any more.
-    pub fn begun(&mut self, key: RequestKey, due: &mut dyn Schedule<Due>) {
-        if self.is_answered(key) {
-            self.forget(key, due);
+    /// The answer has begun, as [`Core::answer_now`] told it at this time: the request is over, and nothing changes its
+    /// answer any more.
+    pub fn begun(&mut self, now: Micros, key: RequestKey, due: &mut dyn Schedule<Due>) {
+        let Some(answer) = self.answer_now(now, key) else { return };
+        if let Some(request) = self.forget(key, due) {
+            self.count(request.ask.class, &answer);
         }
     }
 
+    /// Counts a final answer to a request of this class, also one that was given without the core.
+    pub fn count(&mut self, class: ClassId, answer: &Final) {
+        let class = usize::from(class.0);
+        if self.answered.len() <= class {
+            self.answered.resize(class + 1, Answered::default());
+        }
+        self.answered[class].count(answer);
+    }
+
+    /// The final answers to requests of this class.
+    pub fn answered(&self, class: ClassId) -> Answered {
+        self.answered.get(usize::from(class.0)).copied().unwrap_or_default()
+    }
+
+    /// Whether a server is a cache: no parent, and not the origin.
+    pub fn is_cache(&self, server: ServerId) -> bool {
+        self.router.is_cache(server)
+    }
+
+    /// The caches of the list, and how many of them the module avoids now.
+    pub fn targets(&self) -> (usize, usize) {
+        self.router.targets()
+    }
+
     /// Whether a request's answer may be taken.
     pub fn is_answered(&self, key: RequestKey) -> bool {
         self.requests.get(key).is_some_and(|request| matches!(request.state, State::Chosen(_)))
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -137,7 +137,7 @@
 
     fn take(&mut self, now: Micros, request: RequestKey) -> Option<Final> {
         let answer = self.core.answer_now(now, request);
-        self.core.begun(request, &mut self.due);
+        self.core.begun(now, request, &mut self.due);
         answer
     }
 }
--- /dev/null
+++ b/src/front/admin.rs
@@ -0,0 +1,216 @@
+//! The operators' door: HTTP/1.1, one call per connection. Its callers hold a few descriptors of their own, so that
+//! neither clients nor callers that sit on a connection keep an answer from the next.
+
+use super::http::{self, Bad};
+use crate::deadlines::{Handle, Schedule};
+use crate::net::{ConnKey, Net, Reason};
+use bytes::{Bytes, BytesMut};
+use std::collections::HashMap;
+
+/// Callers at a time; for one more, the one that has been silent longest has to go.
+pub const CALLERS: usize = 8;
+/// A call must be whole this long after its caller connected, us.
+const WHOLE: i64 = 6_000_000;
+/// How long a caller may take to close after its answer, us.
+const LINGER: i64 = 1_000_000;
+
+/// What falls due: a caller's time is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Due(ConnKey);
+
+/// What is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Healthcheck,
+    /// The figures.
+    Stats,
+}
+
+struct Session {
+    due: Handle,
+    heard: i64,
+    /// It has its answer and is to close: closing first, with its bytes unread, would reset the connection and could
+    /// take the answer away from it.
+    answered: bool,
+}
+
+/// The callers' connections.
+#[derive(Default)]
+pub struct Front {
+    sessions: HashMap<ConnKey, Session>,
+}
+
+impl Front {
+    /// Takes a caller's connection in, in the place of another where there are too many.
+    pub fn open(&mut self, now: i64, conn: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        if self.sessions.len() >= CALLERS {
+            let least = self.sessions.iter().min_by_key(|(conn, s)| (!s.answered, s.heard, **conn));
+            if let Some(least) = least.map(|(conn, _)| *conn) {
+                self.close(now, least, Reason::Evicted, net, due);
+            }
+        }
+        let session = Session { due: due.add(now + WHOLE, Due(conn)), heard: now, answered: false };
+        self.sessions.insert(conn, session);
+    }
+
+    /// Whether this connection is a caller's.
+    pub fn owns(&self, conn: ConnKey) -> bool {
+        self.sessions.contains_key(&conn)
+    }
+
+    /// A connection may be read from, or written to; gives the call that is whole now, which [`Front::answer`] ends.
+    pub fn ready(
+        &mut self,
+        now: i64,
+        conn: ConnKey,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) -> Option<Call> {
+        let session = self.sessions.get_mut(&conn)?;
+        if session.answered {
+            if net.flush(conn).and_then(|()| net.ended(conn)) != Ok(false) {
+                self.close(now, conn, Reason::Done, net, due);
+            }
+            return None;
+        }
+        let got = match net.read(conn, http::MOST_HEAD + 1) {
+            Ok(got) => got,
+            Err(reason) => {
+                self.close(now, conn, reason, net, due);
+                return None;
+            }
+        };
+        if got.bytes > 0 {
+            session.heard = now;
+        }
+        match net.input(conn, call).unwrap_or(Ok(None)) {
+            Ok(Some(call)) => return Some(call),
+            // It writes nothing more, so half a head never becomes a whole one.
+            Ok(None) if got.end => self.close(now, conn, Reason::PeerClosed, net, due),
+            Ok(None) => {}
+            Err(status) => self.answer(now, conn, status, "", net, due),
+        }
+        None
+    }
+
+    /// Answers a connection's one call.
+    pub fn answer(
+        &mut self,
+        now: i64,
+        conn: ConnKey,
+        status: u16,
+        body: &str,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&conn) else { return };
+        (session.answered, session.heard) = (true, now);
+        due.remove(session.due);
+        session.due = due.add(now + LINGER, Due(conn));
+        let mut head = http::start(status, now);
+        http::line(&mut head, "Content-Type", &"text/plain; charset=utf-8");
+        http::line(&mut head, "Content-Length", &body.len());
+        http::line(&mut head, "Cache-Control", &"no-store");
+        if status == 405 {
+            http::line(&mut head, "Allow", &"GET");
+        }
+        http::line(&mut head, "Connection", &"close");
+        head.push_str("\r\n");
+        head.push_str(body);
+        net.input(conn, BytesMut::clear);
+        match net.write(conn, [Bytes::from(head)]) {
+            Ok(()) if net.unwritten(conn) == 0 => net.shutdown(conn),
+            Ok(()) => {} // its length says where it ends
+            Err(reason) => self.close(now, conn, reason, net, due),
+        }
+    }
+
+    /// A caller's time is over: half a call gets its answer, what was answered is closed.
+    pub fn due(&mut self, now: i64, what: Due, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let Due(conn) = what;
+        let Some(session) = self.sessions.get(&conn) else { return };
+        let said_nothing = net.input(conn, |input| input.is_empty()).unwrap_or(true);
+        match session.answered {
+            true => self.close(now, conn, Reason::Done, net, due),
+            false if said_nothing => self.close(now, conn, Reason::HeadTimeout, net, due),
+            false => self.answer(now, conn, 408, "", net, due),
+        }
+    }
+
+    fn close(&mut self, now: i64, conn: ConnKey, reason: Reason, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let Some(session) = self.sessions.remove(&conn) else { return };
+        due.remove(session.due);
+        net.close(now, conn, reason);
+    }
+
+    /// Closes all connections.
+    pub fn stop(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        for conn in self.sessions.keys().copied().collect::<Vec<_>>() {
+            self.close(now, conn, Reason::Stopping, net, due);
+        }
+    }
+}
+
+/// Takes the call, once its head is whole.
+///
+/// # Errors
+///
+/// The status of what is no call.
+fn call(input: &mut BytesMut) -> Result<Option<Call>, u16> {
+    let read = http::head(input, |head| {
+        if head.method != Some("GET") {
+            return Err(Bad::Method { keep: false });
+        }
+        if http::has_body(head) {
+            return Err(Bad::Malformed("a body"));
+        }
+        let path = head.path.unwrap_or_default();
+        Ok(match path.split_once('?').map_or(path, |(path, _)| path) {
+            "/healthcheck" => Some(Call::Healthcheck),
+            "/stats" => Some(Call::Stats),
+            _ => None,
+        })
+    });
+    match read {
+        Ok(None) => Ok(None),
+        Ok(Some(Some(call))) => Ok(Some(call)),
+        Ok(Some(None)) => Err(404),
+        Err(Bad::Method { .. }) => Err(405),
+        Err(Bad::Malformed(_)) => Err(400),
+        Err(Bad::Oversize) => Err(431),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_byte_by_byte_as_the_table_says() {
+        let cases = [
+            ("GET /healthcheck HTTP/1.1\r\nHost: h\r\n\r\n", Ok(Some(Call::Healthcheck))),
+            ("GET /stats HTTP/1.0\r\n\r\n", Ok(Some(Call::Stats))),
+            ("GET /stats?all HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", Ok(Some(Call::Stats))),
+            ("GET / HTTP/1.1\r\nHost: h\r\n\r\n", Err(404)),
+            ("POST /stats HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", Err(405)),
+            ("GET /stats HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", Err(400)),
+            ("\u{1} /stats HTTP/1.1\r\n\r\n", Err(400)),
+            ("GET /stats HTTP/1.1\r\nHo", Ok(None)),
+        ];
+        for (text, wanted) in cases {
+            let (mut input, mut read) = (BytesMut::new(), Ok(None));
+            for byte in text.bytes() {
+                assert_eq!(read, Ok(None), "{text:?} is read at its end");
+                input.extend_from_slice(&[byte]);
+                read = call(&mut input);
+                if read.is_err() {
+                    break;
+                }
+            }
+            assert_eq!(read, wanted, "{text:?}");
+        }
+        let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(http::MOST_HEAD));
+        assert_eq!(call(&mut BytesMut::from(&long[..])), Err(431));
+    }
+}
--- a/src/front/signed/http.rs
+++ b/src/front/signed/http.rs
@@ -2,13 +2,9 @@
 
 use super::gate::PACKAGE;
 use super::uri::{Malformed, Uri};
-use bytes::{Buf, Bytes, BytesMut};
-use std::fmt::Write;
-use std::time::{Duration, UNIX_EPOCH};
-
-/// The longest head.
-pub const MOST_HEAD: usize = 16 * 1024;
-const MOST_HEADERS: usize = 64;
+use crate::front::http;
+pub use crate::front::http::{Bad, MOST_HEAD};
+use bytes::{Bytes, BytesMut};
 
 /// A request without a body, read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,43 +21,15 @@
     pub keep: bool,
 }
 
-/// What can't be served as it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Bad {
-    /// It can't be read, or not told apart from the next: 400, and the connection ends.
-    Malformed(&'static str),
-    /// A method that is not served: 405.
-    Method {
-        /// Whether more requests may follow.
-        keep: bool,
-    },
-    /// The head is too long: 431, and the connection ends.
-    Oversize,
-}
-
 /// Takes the next head; `None` if it is not whole.
 pub fn head(input: &mut BytesMut, scheme: &str) -> Result<Option<Head>, Bad> {
-    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
-    let length = match head.parse(input) {
-        Ok(httparse::Status::Complete(length)) if length <= MOST_HEAD => length,
-        Ok(httparse::Status::Partial) if input.len() <= MOST_HEAD => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad::Oversize),
-        Err(_) => return Err(Bad::Malformed("head")),
-    };
-    let read = request(&head, scheme);
-    input.advance(length);
-    read.map(Some)
+    http::head(input, |head| request(head, scheme))
 }
 
 fn request(head: &httparse::Request, scheme: &str) -> Result<Head, Bad> {
-    let named = |name: &'static str| {
-        let fits = move |header: &&httparse::Header| header.name.eq_ignore_ascii_case(name);
-        head.headers.iter().filter(fits).map(|header| std::str::from_utf8(header.value).unwrap_or("\u{fffd}"))
-    };
+    let named = |name| http::named(head, name);
     let words = |name| named(name).flat_map(|value| value.split(',')).map(str::trim);
-    // Where the request ends must be beyond doubt, or one client's bytes become another's request.
-    if named("transfer-encoding").next().is_some() || named("content-length").any(|length| length != "0") {
+    if http::has_body(head) {
         return Err(Bad::Malformed("a body"));
     }
     let latest = head.version == Some(1);
@@ -114,26 +82,8 @@
 
 /// An answer's bytes, at a Unix time in microseconds.
 pub fn answer(answer: &Answer, only_head: bool, keep: bool, now: i64) -> [Bytes; 2] {
-    let reason = match answer.status {
-        200 => "OK",
-        304 => "Not Modified",
-        400 => "Bad Request",
-        403 => "Forbidden",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        421 => "Misdirected Request",
-        431 => "Request Header Fields Too Large",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "",
-    };
-    let mut head = format!("HTTP/1.1 {} {reason}\r\n", answer.status);
-    let mut line = |name: &str, value: &dyn std::fmt::Display| {
-        let _ = write!(head, "{name}: {value}\r\n"); // a string takes all
-    };
-    line("Date", &httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_micros(now.max(0) as u64)));
+    let mut head = http::start(answer.status, now);
+    let mut line = |name: &str, value: &dyn std::fmt::Display| http::line(&mut head, name, value);
     match answer.status {
         200 => {
             line("Content-Type", &"application/octet-stream");
@@ -214,7 +164,7 @@
             assert_eq!(got, wanted, "{text:?}");
         }
         let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(MOST_HEAD));
-        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MOST_HEADERS + 1));
+        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(65));
         assert_eq!((read(&long), read(&many)), (Err(Bad::Oversize), Err(Bad::Oversize)));
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -453,6 +453,13 @@
         self.servers.len()
     }
 
+    /// The caches of the list, and how many of them get nothing now, or trials only.
+    pub fn targets(&self) -> (usize, usize) {
+        let listed = |s: &&Server| s.member.state != ServerState::Gone && self.is_cache(s.member.server);
+        let caches: Vec<&Server> = self.servers.values().filter(listed).collect();
+        (caches.len(), caches.iter().filter(|s| s.shut || !ready(s)).count())
+    }
+
     /// How long a client of the class should stay away that is refused; 0: no advice.
     pub fn advice(&self, class: ClassId) -> Micros {
         let target = self.settings.classes.get(usize::from(class.0)).map_or(0, |class| class.target);
@@ -910,7 +917,8 @@
         self.settings.hub_by_zone.get(usize::from(self.settings.zone.0)) == Some(&server.member.zone)
     }
 
-    fn is_cache(&self, server: ServerId) -> bool {
+    /// Whether a server is a cache: no parent, and not the origin.
+    pub fn is_cache(&self, server: ServerId) -> bool {
         let kind = self.servers.get(&server).map(|s| s.member.kind);
         kind.is_some() && kind != self.settings.parent_kind && kind != Some(self.settings.origin_kind)
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use dahliatrack::front::signed::gate::{Binding, Gate, Grant, SignError};
 use dahliatrack::server::{route_classes, Server, ServerError};
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -29,6 +30,9 @@
         /// The operator's file of the second front, which is off without it
         #[arg(long, env = "PROXY_SIGNED")]
         signed: Option<PathBuf>,
+        /// Where operators' calls are taken, in place of the configuration's `admin`; off without either
+        #[arg(long, env = "PROXY_ADMIN")]
+        admin: Option<SocketAddr>,
         /// The least important log lines to write
         #[arg(long, default_value = "info", value_parser = level)]
         log: log::LevelFilter,
@@ -126,12 +130,12 @@
 
 fn run(command: Command) -> Result<(), Error> {
     match command {
-        Command::Serve { config, signed, log } => {
+        Command::Serve { config, signed, admin, log } => {
             logger::start(log);
-            Server::start(Files { config, signed })?.run()?;
+            Server::start(Files { config, signed, admin })?.run()?;
         }
         Command::CheckConfig { config, signed } => {
-            let (config, signed) = Files { config, signed }.read()?;
+            let (config, signed) = Files { config, signed, admin: None }.read()?;
             let routes = signed.map(|signed| route_classes(&signed, &config.settings)).transpose()?;
             print(&format!("{}: usable, {} events known", config.name, config.known.events.len()));
             if let Some(routes) = routes {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -32,6 +32,8 @@
     Thrift,
     /// A client of the second front.
     Signed,
+    /// A caller of the operators' door.
+    Admin,
     /// A table cache, a parent or the origin.
     Upstream,
     /// The control feed.
@@ -82,7 +84,7 @@
     poll: Poll,
     events: Events,
     conns: Slots<Conn>,
-    count: [usize; 4],
+    count: [usize; 5],
     scratch: Vec<u8>,
     held: usize,
 }
@@ -98,7 +100,7 @@
             poll: Poll::new()?,
             events: Events::with_capacity(1024),
             conns: Slots::default(),
-            count: [0; 4],
+            count: [0; 5],
             scratch: vec![0; CHUNK],
             held: 0,
         })
--- /dev/null
+++ b/src/server/figures.rs
@@ -0,0 +1,66 @@
+//! The operators' calls, and the figures that they are told: read where they are kept, worded here alone.
+
+use super::Server;
+use crate::front::admin::Call;
+use crate::interface::ClassId;
+use crate::net::{ConnKey, Role};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+impl Server {
+    /// Takes the callers that wait; each is read from at once, since its call is there already as a rule.
+    pub(super) fn accept_callers(&mut self) {
+        while let Some(conn) = self.accept_one(Role::Admin) {
+            if let Some(door) = &mut self.door {
+                door.front.open(self.now, conn, &mut self.net, &mut self.due);
+            }
+            self.called(conn);
+        }
+    }
+
+    /// A caller's connection may be read from: answers the call that is whole now.
+    pub(super) fn called(&mut self, conn: ConnKey) {
+        let Some(door) = &mut self.door else { return };
+        let Some(call) = door.front.ready(self.now, conn, &mut self.net, &mut self.due) else { return };
+        let (status, body) = match call {
+            // One that stops takes no clients any more, or not for long.
+            Call::Healthcheck if self.stopping.is_some() => (503, "stopping\n".into()),
+            Call::Healthcheck => (200, "ok\n".into()),
+            Call::Stats => (200, self.figures()),
+        };
+        if let Some(door) = &mut self.door {
+            door.front.answer(self.now, conn, status, &body, &mut self.net, &mut self.due);
+        }
+    }
+
+    /// All figures, a line each.
+    pub(super) fn figures(&self) -> String {
+        // A class whose rules were changed has had several numbers: its name's figures are the sum.
+        let mut classes: BTreeMap<&str, [u64; 4]> = BTreeMap::new();
+        for (number, name) in self.names.classes.iter().enumerate() {
+            let class = ClassId(number as u16);
+            let answered = self.core.answered(class);
+            let new = [answered.success, answered.overload, answered.error, self.upstream.written(class.0)];
+            let sums = classes.entry(name).or_default();
+            sums.iter_mut().zip(new).for_each(|(sum, new)| *sum += new);
+        }
+        let mut text = String::new();
+        let mut line = |key: &str, value: u64| {
+            let _ = writeln!(text, "{key}={value}"); // a string takes all
+        };
+        for (name, [success, overload, error, dispatches]) in &classes {
+            line(&format!("replies.{name}.success"), *success);
+            line(&format!("replies.{name}.overload"), *overload);
+            line(&format!("replies.{name}.error"), *error);
+            line(&format!("replies.{name}.dispatches"), *dispatches);
+        }
+        let (targets, disabled) = self.core.targets();
+        line("dispatches", classes.values().map(|sums| sums[3]).sum());
+        line("concurrent", self.waiting.len() as u64);
+        line("targets", targets as u64);
+        line("targets_disabled", disabled as u64);
+        line("reload_success", self.reloads[0]);
+        line("reload_failure", self.reloads[1]);
+        text
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! The edge proxy: one loop over sockets, deadlines and the core's commands. It ties fronts, upstream and
 //! feed to the core and translates between their words; it decides nothing about requests.
 
+mod figures;
 mod members;
 mod reload;
 mod words;
@@ -13,6 +14,7 @@
 use crate::core::{self, Ask, Command, Core, Final, RequestKey};
 use crate::deadlines::{Deadlines, Schedule};
 use crate::feed::{self, Feed};
+use crate::front::admin;
 use crate::front::signed::{self, route::Place};
 use crate::front::thrift::{self, codec::Reply};
 use crate::interface::{ClassId, ListKind, Micros, ObjectId, Purge, ServerId, ServerState};
@@ -35,6 +37,7 @@
 const LISTENER: usize = 0;
 const SIGNALS: usize = 1;
 const LINKS: usize = 2;
+const ADMIN: usize = 3;
 
 /// A client counts its patience from its send; the request has been under way for about this long, us.
 const WAY: Micros = 12_000;
@@ -57,6 +60,7 @@
     Feed(feed::Due),
     Thrift(thrift::Due),
     Signed(signed::Due),
+    Admin(admin::Due),
     Accept,
     Stop,
 }
@@ -70,7 +74,7 @@
         })*
     };
 }
-due_from!(Core core::Due, Upstream upstream::Due, Feed feed::Due, Thrift thrift::Due, Signed signed::Due);
+due_from!(Core core::Due, Upstream upstream::Due, Feed feed::Due, Thrift thrift::Due, Signed signed::Due, Admin admin::Due);
 
 /// Why the edge proxy cannot start, or had to end.
 #[derive(Debug, thiserror::Error)]
@@ -133,6 +137,12 @@
     classes: Vec<(ClassId, Micros)>,
 }
 
+/// The operators' door, where there is one.
+struct Door {
+    listener: TcpListener,
+    front: admin::Front,
+}
+
 /// The edge proxy.
 pub struct Server {
     files: Files,
@@ -147,6 +157,9 @@
     feed: Feed,
     thrift: thrift::Front,
     links: Option<Links>,
+    door: Option<Door>,
+    /// Files accepted and turned down at SIGHUP.
+    reloads: [u64; 2],
     seed: u64,
     waiting: HashMap<RequestKey, Waiting>,
     /// The ids of these requests: servers could not tell two under one id apart.
@@ -177,6 +190,11 @@
         let now = clock.now();
         let listener = listen(&mut net, config.listen, LISTENER)?;
         let links = signed.map(|signed| Links::start(signed, &config, &mut net)).transpose()?;
+        let door = config.admin.map(|addr| {
+            let listener = listen(&mut net, addr, ADMIN)?;
+            Ok::<_, ServerError>(Door { listener, front: admin::Front::default() })
+        });
+        let door = door.transpose()?;
         let started = Started::of(&config);
         let names = config.settings.names;
         let budget = Budget::of(&config.limits);
@@ -196,6 +214,8 @@
             feed: Feed::new(config.feed, config.known.n),
             thrift: thrift::Front::default(),
             links,
+            door,
+            reloads: [0; 2],
             seed: config.seed,
             waiting: HashMap::new(),
             ids: HashSet::new(),
@@ -217,6 +237,9 @@
         if let Some(links) = &server.links {
             info!("links are served on {}", links.listener.local_addr()?);
         }
+        if let Some(door) = &server.door {
+            info!("operators are answered on {}", door.listener.local_addr()?);
+        }
         Ok(server)
     }
 
@@ -233,6 +256,8 @@
             let wait = next.map(|at| Duration::from_micros((at - self.now).max(0) as u64));
             self.net.poll(wait, &mut ready)?;
             self.now = self.clock.now();
+            // Operators' calls go ahead of whatever clients send.
+            ready.sort_by_key(|one| !self.is_for_door(*one));
             for one in ready.drain(..) {
                 self.on_ready(one);
                 self.pump();
@@ -252,13 +277,24 @@
         if let Some(links) = &mut self.links {
             links.front.stop(self.now, &mut self.net, &mut self.due);
         }
+        if let Some(door) = &mut self.door {
+            door.front.stop(self.now, &mut self.net, &mut self.due);
+        }
         self.upstream.stop(self.now, &mut self.net, &mut self.due);
         info!("stopped");
         Ok(())
     }
 
+    fn is_for_door(&self, ready: Ready) -> bool {
+        match ready {
+            Ready::Source(number) => number == ADMIN,
+            Ready::Conn { key, .. } => self.door.as_ref().is_some_and(|door| door.front.owns(key)),
+        }
+    }
+
     fn on_ready(&mut self, ready: Ready) {
         match ready {
+            Ready::Source(ADMIN) => self.accept_callers(),
             Ready::Source(LISTENER | LINKS) => self.accept(),
             Ready::Source(_) => {
                 let signals: Vec<i32> = self.signals.pending().collect();
@@ -276,6 +312,8 @@
                     for batch in self.feed.ready(self.now, &mut self.net, &mut self.due) {
                         self.news(batch);
                     }
+                } else if self.is_for_door(ready) {
+                    self.called(key);
                 } else if self.thrift.owns(key) {
                     let asks = self.thrift.ready(self.now, key, &mut self.net, &mut self.due);
                     self.asked(asks);
@@ -304,7 +342,15 @@
                 let conn = links.front.due(self.now, what, &mut self.net, &mut self.due);
                 self.advance(conn);
             }
-            Due::Accept => self.accept(),
+            Due::Admin(what) => {
+                if let Some(door) = &mut self.door {
+                    door.front.due(self.now, what, &mut self.net, &mut self.due);
+                }
+            }
+            Due::Accept => {
+                self.accept_callers();
+                self.accept();
+            }
             Due::Stop => self.look_for_end(),
         }
     }
@@ -349,8 +395,11 @@
     }
 
     fn accept_one(&mut self, role: Role) -> Option<ConnKey> {
-        let links = self.links.as_ref().map(|links| &links.listener);
-        let listener = if role == Role::Thrift { Some(&self.listener) } else { links }?;
+        let listener = match role {
+            Role::Thrift => &self.listener,
+            Role::Admin => &self.door.as_ref()?.listener,
+            _ => &self.links.as_ref()?.listener,
+        };
         match self.net.accept(self.now, listener, role) {
             Ok(conn) => conn,
             Err(error) => {
@@ -411,7 +460,8 @@
                 let waiting = self.waiting.get(&request);
                 let (id, class) = waiting.map_or_else(Default::default, |w| (w.trace.clone(), w.class.0));
                 let write = self.names.writes.get(usize::from(class)).is_some_and(|write| *write);
-                self.upstream.queue(self.now, server.0, attempt.number(), id, write);
+                let tally = Some(class).filter(|_| self.core.is_cache(server));
+                self.upstream.queue(self.now, server.0, attempt.number(), id, write, tally);
             }
             Command::Drop(attempt) => {
                 self.upstream.give_up(self.now, attempt.number(), &mut self.net, &mut self.due);
@@ -442,7 +492,7 @@
     /// A request's answer has begun.
     fn over(&mut self, request: RequestKey) {
         self.forget(request);
-        self.core.begun(request, &mut self.due);
+        self.core.begun(self.now, request, &mut self.due);
     }
 
     /// Writes what answers of a second front's connection have their turn, each as it is at its first byte.
@@ -512,6 +562,7 @@
         let Some((class, patience)) = links.classes.get(route).copied() else { return };
         if full {
             let refused = Final::Refused { pause: self.core.pause(class), late: false };
+            self.core.count(class, &refused);
             return links.front.say(conn, number, words::answer(refused, &[], now));
         }
         let (object, group, expires) = (ObjectId(object), GroupId(group), Some(expires));
@@ -534,13 +585,14 @@
                             form if self.ids.contains(&form.trace) => Err("trace is another's".into()),
                             _ => Ok(form),
                         });
-                        self.invoke(conn, seqid, form, body);
+                        let class = words::class(&fields, &self.names);
+                        self.invoke(conn, seqid, class, form, body);
                     }
                 }
                 thrift::Ask::Over { conn, seqid, fields } => {
-                    let class = words::form(&fields, &self.names).map_or(ClassId(0), |form| form.class);
-                    let pause = self.core.pause(class) / 1000;
-                    self.say(conn, seqid, Reply::Refused { pause });
+                    let class = words::class(&fields, &self.names);
+                    let refused = self.refuse(class);
+                    self.say(conn, seqid, refused);
                 }
                 thrift::Ask::Ping { conn, seqid } => {
                     self.say(conn, seqid, Reply::Pong(self.stopping.is_none()));
@@ -555,20 +607,37 @@
         self.asked(asks);
     }
 
-    fn invoke(&mut self, conn: ConnKey, seqid: i32, form: Result<words::Form, String>, body: Bytes) {
-        let refused = match &form {
-            Err(text) => Some(Reply::Exception { name: "invoke".into(), kind: 7, text: text.clone() }),
-            Ok(form) if self.is_full() => Some(Reply::Refused { pause: self.core.pause(form.class) / 1000 }),
-            Ok(_) => None,
+    /// A refusal that the core does not hear of.
+    fn refuse(&mut self, class: Option<ClassId>) -> Reply {
+        let pause = self.core.pause(class.unwrap_or(ClassId(0)));
+        let refused = Final::Refused { pause, late: false };
+        class.into_iter().for_each(|class| self.core.count(class, &refused));
+        words::reply(refused)
+    }
+
+    fn invoke(
+        &mut self,
+        conn: ConnKey,
+        seqid: i32,
+        class: Option<ClassId>,
+        form: Result<words::Form, String>,
+        body: Bytes,
+    ) {
+        let refused = match form {
+            Err(text) => {
+                class.into_iter().for_each(|class| self.core.count(class, &Final::Failed { late: false }));
+                Err(Reply::Exception { name: "invoke".into(), kind: 7, text })
+            }
+            Ok(_) if self.is_full() => Err(self.refuse(class)),
+            Ok(form) => Ok(form),
         };
-        let (form, reply) = match (form, refused) {
-            (Ok(form), None) => (form, None),
-            (_, reply) => (words::Form::default(), reply),
+        let form = match refused {
+            Ok(form) => form,
+            Err(reply) => {
+                let asks = self.thrift.answer(self.now, conn, seqid, reply, &mut self.net, &mut self.due);
+                return self.asked(asks);
+            }
         };
-        if let Some(reply) = reply {
-            let asks = self.thrift.answer(self.now, conn, seqid, reply, &mut self.net, &mut self.due);
-            return self.asked(asks);
-        }
         let words::Form { class, object, part, group, patience, trace, item, seen } = form;
         let patience = (patience - WAY).max(1);
         let ask = Ask { class, object, part, group, patience, expires: None };
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -64,8 +64,12 @@
         });
         let (config, routes) = match done {
             Ok(read) => read,
-            Err(error) => return warn!("reload: {error}; the old configuration stays"),
+            Err(error) => {
+                self.reloads[1] += 1;
+                return warn!("reload: {error}; the old configuration stays");
+            }
         };
+        self.reloads[0] += 1;
         let kept = if Started::of(&config) == self.started { "" } else { "; the rest waits for a start" };
         self.budget = Budget::of(&config.limits);
         self.upstream.set_budget(self.budget.servers, self.budget.answers);
--- a/src/server/words.rs
+++ b/src/server/words.rs
@@ -36,12 +36,10 @@
     pub seen: Option<String>,
 }
 
-impl Default for Form {
-    fn default() -> Self {
-        let (class, object, group) = (ClassId(0), ObjectId(0), GroupId(0));
-        let (trace, item) = (String::new(), String::new());
-        Form { class, object, part: 0, group, patience: 0, trace, item, seen: None }
-    }
+/// The class that a request names, whatever else is wrong with it.
+pub fn class(fields: &BTreeMap<String, String>, names: &Names) -> Option<ClassId> {
+    let route = fields.get("route")?;
+    names.classes.iter().position(|known| known == route).map(|class| ClassId(class as u16))
 }
 
 /// Reads a request's fields; unknown ones are ignored.
@@ -51,8 +49,8 @@
     fn number<T: std::str::FromStr>(name: &str, value: &str) -> Result<T, String> {
         value.parse().map_err(|_| format!("{name} is no number of its range"))
     }
-    let route = needed("route")?;
-    let class = names.classes.iter().position(|known| known == route).ok_or("route is unknown")?;
+    needed("route")?;
+    let class = usize::from(class(fields, names).ok_or("route is unknown")?.0);
     // Both go onto another wire as they are: nothing but hex digits may.
     let hex = |name: &'static str| {
         let value = needed(name)?;
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -119,6 +119,7 @@
     id: String,
     link: Option<ConnKey>,
     written: i64,
+    tally: Option<u16>,
 }
 
 struct Host {
@@ -168,6 +169,8 @@
     idle: Option<Handle>,
     /// Hung while an answer has come in part.
     part: Option<Handle>,
+    /// The tally of the job whose bytes are not all written yet.
+    tally: Option<u16>,
 }
 
 impl Link {
@@ -196,6 +199,8 @@
     probed: HashMap<u64, i64>,
     happened: Vec<Happening>,
     elsewhere: usize,
+    /// Jobs written whole, by tally.
+    written: Vec<u64>,
 }
 
 impl Upstream {
@@ -215,6 +220,7 @@
             probed: HashMap::new(),
             happened: Vec::new(),
             elsewhere: 0,
+            written: Vec::new(),
         }
     }
 
@@ -274,19 +280,25 @@
 
     /// Queues a job for a server under its id on the wire; [`Upstream::dispatch`] writes it. A write shares no
     /// connection with reads.
-    pub fn queue(&mut self, now: i64, host: u32, job: u64, id: String, write: bool) {
-        self.enqueue(now, host, Job::Fetch(job), id, usize::from(write));
+    /// With a tally, its writing counts under that number.
+    pub fn queue(&mut self, now: i64, host: u32, job: u64, id: String, write: bool, tally: Option<u16>) {
+        self.enqueue(now, host, Job::Fetch(job), id, usize::from(write), tally);
+    }
+
+    /// The jobs that were written whole, by their tally.
+    pub fn written(&self, tally: u16) -> u64 {
+        self.written.get(usize::from(tally)).copied().unwrap_or(0)
     }
 
     /// Queues a probe.
     pub fn probe(&mut self, now: i64, host: u32) {
         self.probes += 1;
         self.probed.insert(self.probes, now);
-        self.enqueue(now, host, Job::Probe(self.probes), format!("p{}", self.probes), 0);
+        self.enqueue(now, host, Job::Probe(self.probes), format!("p{}", self.probes), 0, None);
     }
 
-    fn enqueue(&mut self, now: i64, host: u32, job: Job, id: String, lane: usize) {
-        self.jobs.insert(job, Place { host, lane, id, link: None, written: now });
+    fn enqueue(&mut self, now: i64, host: u32, job: Job, id: String, lane: usize, tally: Option<u16>) {
+        self.jobs.insert(job, Place { host, lane, id, link: None, written: now, tally });
         match self.hosts.get_mut(&host).filter(|known| !known.gone) {
             Some(known) => known.lanes[lane].queue.push_back(job),
             None => self.end(now, job, Ending::NotConnected),
@@ -296,7 +308,7 @@
     /// Gives a job up: it is not written, or its server is told to stop; nothing is heard of it any more.
     pub fn give_up(&mut self, now: i64, job: u64, net: &mut Net, due: &mut dyn Schedule<Due>) {
         let id = Job::Fetch(job);
-        let Some(Place { host, lane, id: name, link, written }) = self.jobs.remove(&id) else { return };
+        let Some(Place { host, lane, id: name, link, written, .. }) = self.jobs.remove(&id) else { return };
         let Some(key) = link else {
             if let Some(host) = self.hosts.get_mut(&host) {
                 host.lanes[lane].queue.retain(|queued| *queued != id);
@@ -416,12 +428,14 @@
         } else if let Some(link) = self.links.get_mut(&key) {
             (place.link, place.written) = (Some(key), now);
             link.used = true;
+            link.tally = place.tally;
             link.open.insert(place.id.clone(), job);
             link.waiting.get_or_insert(now);
             link.idle.take().into_iter().for_each(|handle| due.remove(handle));
         }
-        if let Err(reason) = written {
-            self.drop_link(now, key, reason, net, due);
+        match written {
+            Ok(()) => self.tally(key, net),
+            Err(reason) => self.drop_link(now, key, reason, net, due),
         }
         if more {
             self.connect(now, host, lane, net, due);
@@ -429,6 +443,16 @@
         true
     }
 
+    /// Counts the job that was written last once all of it has left.
+    fn tally(&mut self, key: ConnKey, net: &Net) {
+        let Some(link) = self.links.get_mut(&key).filter(|_| net.unwritten(key) == 0) else { return };
+        let Some(tally) = link.tally.take().map(usize::from) else { return };
+        if self.written.len() <= tally {
+            self.written.resize(tally + 1, 0);
+        }
+        self.written[tally] += 1;
+    }
+
     fn connect(
         &mut self,
         now: i64,
@@ -462,6 +486,7 @@
             connect,
             idle: None,
             part: None,
+            tally: None,
         };
         self.links.insert(key, link);
         true
@@ -514,6 +539,7 @@
             if let Err(reason) = net.flush(key) {
                 return self.drop_link(now, key, reason, net, due);
             }
+            self.tally(key, net);
         }
         if read {
             if let Err(reason) = self.read(now, key, net) {
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -20,7 +20,7 @@
     let mut pool = Pool { upstream, net, due: Deadlines::default(), _listener: listener };
     let addr = pool._listener.local_addr().expect("an address");
     pool.upstream.set_host(0, 1, addr, None, &mut pool.net, &mut pool.due);
-    pool.upstream.queue(0, 1, 7, "a".into(), write);
+    pool.upstream.queue(0, 1, 7, "a".into(), write, None);
     pool.dispatch();
     pool
 }
@@ -79,7 +79,7 @@
         for job in 0..u64::from(UNHEARD) {
             pool.upstream.links.get_mut(&key).expect("it is there").up = true;
             if job > 0 {
-                pool.upstream.queue(0, 1, 7 + job, format!("a{job}"), false);
+                pool.upstream.queue(0, 1, 7 + job, format!("a{job}"), false, None);
             }
             pool.dispatch();
         }
@@ -117,7 +117,7 @@
     pool.upstream.links.get_mut(&first).expect("it is there").up = true;
     let mut at = |now: i64, job: u64| {
         if job > 7 {
-            pool.upstream.queue(now, 1, job, format!("a{job}"), true);
+            pool.upstream.queue(now, 1, job, format!("a{job}"), true, None);
         }
         pool.upstream.dispatch(now, &mut pool.net, &mut pool.due, &mut |_, _| Some(Fetch::default()));
         pool.upstream.jobs[&Job::Fetch(job)].link
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -5,10 +5,10 @@
 use std::net::TcpStream;
 use std::process::Command;
 
-struct Client(TcpStream);
+pub struct Client(pub TcpStream);
 
 #[derive(Clone, Debug, PartialEq)]
-enum Reply {
+pub enum Reply {
     Served { body: Vec<u8>, current: bool },
     Refused { pause: bool },
     Failed,
@@ -25,18 +25,18 @@
     [&(head.len() as i32).to_be_bytes()[..], &head].concat()
 }
 
-fn invoke(seqid: i32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+pub fn invoke(seqid: i32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut map = [&[13, 0, 1, 11, 11][..], &(fields.len() as i32).to_be_bytes()].concat();
     fields.iter().for_each(|(name, value)| map.extend([text(name), text(value)].concat()));
     map.extend([&[11, 0, 2][..], &(body.len() as i32).to_be_bytes(), body].concat());
     message(1, "invoke", seqid, &map)
 }
 
-fn trace(seqid: i32) -> String {
+pub fn trace(seqid: i32) -> String {
     format!("{:016x}", 0x1b1f_0000 + seqid)
 }
 
-fn request(seqid: i32, route: &str) -> Vec<u8> {
+pub fn request(seqid: i32, route: &str) -> Vec<u8> {
     let (trace, patience) = (trace(seqid), "4000");
     let fields = [
         ("route", route),
@@ -58,11 +58,11 @@
 }
 
 impl Client {
-    fn new(proxy: &Proxy) -> Self {
+    pub fn new(proxy: &Proxy) -> Self {
         Client(proxy.connect(proxy.addr))
     }
 
-    fn send(&mut self, bytes: &[u8]) {
+    pub fn send(&mut self, bytes: &[u8]) {
         self.0.write_all(bytes).expect("written");
     }
 
@@ -72,7 +72,7 @@
         bytes
     }
 
-    fn reply(&mut self) -> (i32, Reply) {
+    pub fn reply(&mut self) -> (i32, Reply) {
         let mut frame = vec![0; i32::from_be_bytes(self.take()) as usize];
         self.0.read_exact(&mut frame).expect("a frame");
         let name = i32::from_be_bytes(frame[4..8].try_into().expect("4 bytes")) as usize;
@@ -94,18 +94,18 @@
         (seqid, reply)
     }
 
-    fn ping(&mut self, seqid: i32) -> bool {
+    pub fn ping(&mut self, seqid: i32) -> bool {
         self.send(&message(1, "ping", seqid, &[2, 0, 1, 0]));
         self.reply() == (seqid, Reply::Pong(true))
     }
 
-    fn is_closed(&mut self) -> bool {
+    pub fn is_closed(&mut self) -> bool {
         let mut rest = Vec::new();
         matches!(self.0.read_to_end(&mut rest), Ok(0) | Err(_))
     }
 }
 
-fn served(body: &[u8]) -> Reply {
+pub fn served(body: &[u8]) -> Reply {
     Reply::Served { body: body.to_vec(), current: false }
 }
 
