Take new settings at SIGHUP: classes come, go and change, open requests keep rules

At fault: server/reload.rs kept the settings until a start, and serde defaults let a file without a key pass. Built as designed: Parsed::following, Router::reconfigure, Core::reconfigure; limits are kept by request. Tests: the module with fewer attempts and another effect, a table of class numbers, two on sockets (retune; 22 broken files).

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,8 @@
 pub mod signed;
 
 use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -56,7 +58,7 @@
     #[serde(default)]
     admin: Option<SocketAddr>,
     known: events::Batch,
-    settings: serde_json::Value,
+    settings: Value,
 }
 
 /// PROXY_CONFIG, read and checked.
@@ -78,6 +80,8 @@
     pub known: events::Batch,
     /// The settings of the decision module, and the names that go with them.
     pub settings: settings::Parsed,
+    /// The keys that it has, by their paths: a new file that lacks one of them was not written whole.
+    pub keys: BTreeSet<String>,
 }
 
 impl Config {
@@ -107,8 +111,33 @@
         if settings.names.classes.iter().any(String::is_empty) {
             return Err("settings: a class has no name".into());
         }
+        let classes = &settings.names.classes;
+        if let Some(twice) = classes.iter().enumerate().find(|(i, name)| classes[..*i].contains(name)) {
+            return Err(format!("settings: class {:?} comes twice", twice.1));
+        }
+        let keys = keys(&serde_json::from_slice(text).map_err(|e| e.to_string())?);
         let Wire { name, listen, limits, feed, admin, known, .. } = wire;
-        Ok(Config { name, listen, seed, limits, feed, admin, known, settings })
+        Ok(Config { name, listen, seed, limits, feed, admin, known, settings, keys })
+    }
+}
+
+/// The paths of an object's keys. Of a list, they are those that all its objects have; what of the configuration may
+/// come and go is left out.
+fn keys(value: &Value) -> BTreeSet<String> {
+    let below = |name: &str, value| keys(value).into_iter().map(|key| format!("{name}.{key}")).collect();
+    match value {
+        Value::Object(map) => {
+            let fixed = map.iter().filter(|(name, _)| !["admin", "known"].contains(&name.as_str()));
+            fixed
+                .flat_map(|(name, value)| [below(name, value), BTreeSet::from([name.clone()])])
+                .flatten()
+                .collect()
+        }
+        Value::Array(list) => {
+            let all = list.iter().map(keys).reduce(|all, one| &all & &one);
+            all.unwrap_or_default()
+        }
+        _ => BTreeSet::new(),
     }
 }
 
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -30,8 +30,10 @@
 /// What a router program needs of the settings and the decision module does not.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
-    /// The names of the classes.
+    /// The names of the classes, by number; those that are retired keep theirs.
     pub classes: Vec<String>,
+    /// Which of them are retired.
+    pub retired: Vec<bool>,
     /// Which of them are writes: what may not run twice at will.
     pub writes: Vec<bool>,
     /// How long a client of each waits at the longest.
@@ -61,6 +63,71 @@
     pub names: Names,
 }
 
+impl Names {
+    /// The class that requests of this name have now.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        let known = self.classes.iter().zip(&self.retired);
+        let found = known.enumerate().find(|(_, (known, retired))| *known == name && !**retired);
+        found.map(|(number, _)| ClassId(number as u16))
+    }
+}
+
+impl Parsed {
+    /// These settings as they follow older ones in a running program. A class of the same name and rules keeps its
+    /// number; a new one, or one whose rules differ, gets a number that no class has had, and the old one is retired:
+    /// its open requests go on by its rules. Where the own place and the servers' kinds and zones differ, the old
+    /// ones stay, since all that was heard of the servers is in their words; this is told with it.
+    ///
+    /// # Errors
+    ///
+    /// The numbers are used up.
+    pub fn following(self, old: &Parsed) -> Result<(Parsed, bool), String> {
+        let Parsed { settings: new, names: told } = self;
+        let mut names = Names {
+            kinds: old.names.kinds.clone(),
+            zones: old.names.zones.clone(),
+            retired: vec![true; old.names.classes.len()],
+            classes: old.names.classes.clone(),
+            writes: old.names.writes.clone(),
+            deadlines: old.names.deadlines.clone(),
+            ..told.clone()
+        };
+        let retired = |class: &Class| Class { retired: true, ..class.clone() };
+        let mut classes: Vec<Class> = old.settings.classes.iter().map(retired).collect();
+        for (name, class) in told.classes.iter().zip(&new.classes) {
+            let known = old.names.class(name).map(|known| usize::from(known.0));
+            if let Some(known) = known.filter(|known| old.settings.classes[*known] == *class) {
+                (classes[known].retired, names.retired[known]) = (false, false);
+                continue;
+            }
+            if classes.len() >= usize::from(u16::MAX) {
+                return Err("settings: no class numbers are left".into());
+            }
+            names.classes.push(name.clone());
+            names.retired.push(false);
+            names.writes.push(class.effect != Effect::Safe);
+            names.deadlines.push(class.deadline);
+            classes.push(class.clone());
+        }
+        let place = old.settings.clone();
+        let settings = Settings {
+            classes,
+            routers: place.routers,
+            ordinal: place.ordinal,
+            zone: place.zone,
+            routers_by_zone: place.routers_by_zone,
+            hub_by_zone: place.hub_by_zone,
+            link_kb_per_s: place.link_kb_per_s,
+            parent_kind: place.parent_kind,
+            origin_kind: place.origin_kind,
+            ..new.clone()
+        };
+        let moved = Settings { classes: new.classes.clone(), ..settings.clone() } != new;
+        let moved = moved || names.kinds != told.kinds || names.zones != told.zones;
+        Ok((Parsed { settings, names }, moved))
+    }
+}
+
 #[derive(Deserialize)]
 struct Domain {
     class_grace: Vec<f64>,
@@ -173,10 +240,12 @@
             fresh: micros(*domain.fresh_for.get(i).ok_or_else(|| lacking("fresh_for"))?),
             grace: micros(*domain.class_grace.get(i).ok_or_else(|| lacking("class_grace"))?),
             never_kept: *domain.goes_through.get(i).ok_or_else(|| lacking("goes_through"))?,
+            retired: false,
         });
     }
     let names = Names {
         classes: wire.grades.iter().map(|grade| grade.name.clone()).collect(),
+        retired: vec![false; classes.len()],
         writes: classes.iter().map(|class| class.effect != Effect::Safe).collect(),
         deadlines: classes.iter().map(|class| class.deadline).collect(),
         kinds: wire.skus.clone(),
@@ -247,3 +316,64 @@
         .map(|(_, meaning)| *meaning)
         .ok_or_else(|| format!("settings: {key} has the unknown word {value:?}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parsed(classes: &[(&str, Micros, Effect)]) -> Parsed {
+        let text = include_str!("settings/example.json");
+        let mut parsed = parse(text.as_bytes()).expect("usable");
+        let like = parsed.settings.classes[0].clone();
+        let class = |(_, deadline, effect): &(_, _, _)| Class {
+            deadline: *deadline,
+            effect: *effect,
+            ..like.clone()
+        };
+        parsed.settings.classes = classes.iter().map(class).collect();
+        parsed.names.classes = classes.iter().map(|(name, ..)| (*name).to_owned()).collect();
+        parsed.names.deadlines = classes.iter().map(|(_, deadline, _)| *deadline).collect();
+        parsed.names.writes = classes.iter().map(|(.., effect)| *effect != Effect::Safe).collect();
+        parsed.names.retired = vec![false; classes.len()];
+        parsed
+    }
+
+    /// The numbers that the names have, and how many records there are.
+    fn numbers(parsed: &Parsed) -> (Vec<Option<u16>>, usize) {
+        let number = |name| parsed.names.class(name).map(|class| class.0);
+        let n = parsed.settings.classes.len();
+        assert!(
+            [parsed.names.classes.len(), parsed.names.writes.len(), parsed.names.deadlines.len()] == [n; 3]
+        );
+        let retired = parsed.settings.classes.iter().map(|class| class.retired);
+        assert!(retired.eq(parsed.names.retired.iter().copied()));
+        (["a", "b", "c"].map(number).to_vec(), n)
+    }
+
+    #[test]
+    fn a_class_keeps_its_number_as_long_as_its_rules() {
+        use Effect::{Safe, Unsafe};
+        let first = parsed(&[("a", 5, Safe), ("b", 6, Safe)]);
+        let steps = [
+            (vec![("b", 6, Safe), ("a", 5, Safe)], (vec![Some(0), Some(1), None], 2)),
+            (vec![("a", 5, Unsafe), ("b", 6, Safe)], (vec![Some(2), Some(1), None], 3)),
+            (vec![("c", 6, Safe)], (vec![None, None, Some(3)], 4)),
+            (vec![("a", 5, Safe), ("c", 6, Safe)], (vec![Some(4), None, Some(3)], 5)),
+            (vec![("a", 5, Safe), ("c", 7, Safe)], (vec![Some(4), None, Some(5)], 6)),
+        ];
+        let mut now = first;
+        for (classes, wanted) in steps {
+            let (next, moved) = parsed(&classes).following(&now).expect("usable");
+            assert_eq!((numbers(&next), moved), (wanted, false), "{classes:?}");
+            now = next;
+        }
+        assert_eq!(now.settings.classes[0].effect, Safe, "open requests go on by the old record");
+        let mut moved = parsed(&[("a", 5, Safe)]);
+        (moved.settings.zone, moved.settings.limits.max_attempts) = (ZoneId(0), 1);
+        let (next, moved) = moved.following(&now).expect("usable");
+        assert_eq!(
+            (next.settings.zone, next.settings.limits.max_attempts, moved),
+            (now.settings.zone, 1, true)
+        );
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -182,6 +182,8 @@
     arrived: Micros,
     state: State,
     sent: u8,
+    /// Attempts that it may have, by the settings that held when it came.
+    most: u32,
     patience: Option<Handle>,
     expiry: Option<Handle>,
 }
@@ -238,6 +240,13 @@
         })
     }
 
+    /// Goes on by other settings, in which every class that was there has its number and its rules: requests that are
+    /// open keep those, their deadlines and their number of attempts.
+    pub fn reconfigure(&mut self, settings: Settings) {
+        self.router.reconfigure(settings.clone());
+        self.settings = settings;
+    }
+
     /// The next thing that the core wants done.
     pub fn command(&mut self) -> Option<Command> {
         self.commands.pop_front()
@@ -278,6 +287,7 @@
             arrived: now,
             state: State::Open,
             sent: 0,
+            most: self.settings.limits.max_attempts,
             patience: None,
             expiry: None,
         };
@@ -605,8 +615,8 @@
         due: &mut dyn Schedule<Due>,
     ) {
         let key = Key::from_number(id.0);
-        let most = self.settings.limits.max_attempts;
         let Some(request) = self.requests.get_mut(key) else { return };
+        let most = request.most;
         let open = matches!(request.state, State::Open);
         let number = request.sent;
         request.sent = number.saturating_add(1);
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -27,6 +27,7 @@
         fresh: 0,
         grace: 0,
         never_kept,
+        retired: false,
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,6 +86,8 @@
     pub grace: Micros,
     /// Whether the class is never kept and always runs at the origin.
     pub never_kept: bool,
+    /// New settings have dropped it or changed its rules: it has no requests but those that were open then.
+    pub retired: bool,
 }
 
 /// What a repeat of a request does.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -134,6 +134,8 @@
 /// A request from its arrival until its last attempt has ended.
 struct Open {
     request: Request,
+    /// Those that held when it came.
+    limits: Limits,
     arrived: Micros,
     attempts: Vec<Attempt>,
     finished: bool,
@@ -169,8 +171,6 @@
 pub struct Router {
     settings: Settings,
     random: Pcg64Mcg,
-    /// Routers of the own location, this one included.
-    own_routers: u32,
     servers: BTreeMap<ServerId, Server>,
     /// The ready caches of the own location, and the ready parents; brought up to date with the list.
     caches: Vec<ServerId>,
@@ -200,12 +200,8 @@
     /// A router that knows nothing yet but its settings; an error where they cannot be used.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         settings.check()?;
-        let own_routers = settings.routers_by_zone[usize::from(settings.zone.0)].max(1);
-        let own = |class: &Class| if class.never_kept { OWN_TIME } else { 1.0 };
-        let mean = settings.classes.iter().map(|class| (class.target as f64 * own(class), 0.0)).collect();
         Ok(Router {
             random: Pcg64Mcg::seed_from_u64(seed),
-            own_routers,
             servers: BTreeMap::new(),
             caches: Vec::new(),
             parents: Vec::new(),
@@ -217,7 +213,7 @@
             halve_at: now + HALVING,
             upkeep_at: now + UPKEEP,
             ticking: false,
-            mean,
+            mean: settings.classes.iter().map(untried).collect(),
             purged: BTreeMap::new(),
             retries: RETRY_MOST,
             fetch_share: 1.0,
@@ -227,6 +223,13 @@
         })
     }
 
+    /// Goes on by other settings, in which a class that was there has its number and its rules still.
+    /// Requests that are open keep their limits.
+    pub fn reconfigure(&mut self, settings: Settings) {
+        self.mean.extend(settings.classes.iter().skip(self.mean.len()).map(untried));
+        self.settings = settings;
+    }
+
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -263,14 +266,9 @@
         if request.size_kb > 0.0 {
             self.sample(request.class, self.solo(&request));
         }
-        let open = Open {
-            request,
-            arrived: now,
-            attempts: Vec::new(),
-            finished: false,
-            streaming: false,
-            may_have_run: None,
-        };
+        let (arrived, attempts, may_have_run) = (now, Vec::new(), None);
+        let (limits, finished, streaming) = (self.settings.limits.clone(), false, false);
+        let open = Open { request, limits, arrived, attempts, finished, streaming, may_have_run };
         self.open.insert(id, open);
         self.place(now, id, out);
     }
@@ -282,7 +280,7 @@
         let request = &open.request;
         let object = key(request);
         let order = self.hash_order(now, object);
-        let spent = open.attempts.len() >= self.settings.limits.max_attempts as usize;
+        let spent = open.attempts.len() >= open.limits.max_attempts as usize;
         if spent || self.worth_until(open) <= now {
             return self.give_up(now, id, out);
         }
@@ -464,11 +462,7 @@
     pub fn advice(&self, class: ClassId) -> Micros {
         let target = self.settings.classes.get(usize::from(class.0)).map_or(0, |class| class.target);
         let (limits, advice) = (&self.settings.limits, (target as f64 * ADVICE) as Micros);
-        if limits.retry_after {
-            advice.min(limits.max_retry_after)
-        } else {
-            0
-        }
+        advice.min(if limits.retry_after { limits.max_retry_after } else { 0 })
     }
 
     /// Ends a request: its other attempts are called off, and it is kept until they have ended.
@@ -477,8 +471,8 @@
         if !open.finished {
             open.finished = true;
             for (i, attempt) in open.attempts.iter().enumerate().filter(|(_, a)| a.open) {
-                let called_off = attempt.rescued && !self.settings.limits.parallel;
-                if self.settings.limits.cancel && !open.streaming && !called_off {
+                let called_off = attempt.rescued && !open.limits.parallel;
+                if open.limits.cancel && !open.streaming && !called_off {
                     out.push(Action::Cancel { request: id, attempt: i as u8 });
                 }
             }
@@ -649,7 +643,8 @@
     fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.ticking = false;
         self.upkeep(now);
-        let patience = self.settings.classes.iter().map(|c| c.target).min().unwrap_or(SECOND);
+        let classes = self.settings.classes.iter().filter(|class| !class.retired);
+        let patience = classes.map(|class| class.target).min().unwrap_or(SECOND);
         let mut overdue: BTreeMap<ServerId, Vec<(RequestId, usize)>> = BTreeMap::new();
         let mut asked: BTreeMap<ServerId, usize> = BTreeMap::new();
         let mut expired = Vec::new();
@@ -701,10 +696,10 @@
 
     /// Sends an overdue attempt's request elsewhere: beside it where two may be out, else in its place.
     fn rescue(&mut self, now: Micros, id: RequestId, number: usize, blamed: bool, out: &mut Vec<Action>) {
-        let parallel = self.settings.limits.parallel;
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.finished) else { return };
+        let parallel = open.limits.parallel;
         let attempt = &mut open.attempts[number];
-        if attempt.rescued || !(parallel || self.settings.limits.cancel) || self.retries < 1.0 {
+        if attempt.rescued || !(parallel || open.limits.cancel) || self.retries < 1.0 {
             return;
         }
         (attempt.rescued, attempt.blamed) = (true, blamed);
@@ -744,16 +739,16 @@
 
     /// Routers that may send to a server: those of its location, or all for what stands at a hub.
     fn sharers(&self, server: &Server) -> u32 {
-        let own = self.is_cache(server.member.server);
-        if own {
-            self.own_routers
-        } else {
-            self.settings.routers.max(1)
-        }
+        [self.settings.routers.max(1), self.own_routers()][usize::from(self.is_cache(server.member.server))]
+    }
+
+    /// Routers of the own location, this one included.
+    fn own_routers(&self) -> u32 {
+        self.settings.routers_by_zone[usize::from(self.settings.zone.0)].max(1)
     }
 
     fn crowd_memory(&self) -> Micros {
-        CROWD_MEMORY * Micros::from(self.own_routers - 1)
+        CROWD_MEMORY * Micros::from(self.own_routers() - 1)
     }
 
     /// The crowd at a server that a request is predicted to bear: its time grows with it, its target not.
@@ -821,7 +816,7 @@
     fn may_send(&self, now: Micros, open: &Open, server: ServerId) -> bool {
         let class = self.class(&open.request);
         let out = open.attempts.iter().find(|a| a.open).map(|a| (a.sent, a.server));
-        if out.is_some() && (!self.settings.limits.parallel || open.streaming) {
+        if out.is_some() && (!open.limits.parallel || open.streaming) {
             return false;
         }
         let Some((sent, to)) = open.may_have_run.into_iter().chain(out).min() else { return true };
@@ -995,6 +990,11 @@
     }
 }
 
+/// A class's sending time before any sample, and how many there are.
+fn untried(class: &Class) -> (f64, f64) {
+    (class.target as f64 * if class.never_kept { OWN_TIME } else { 1.0 }, 0.0)
+}
+
 fn ready(server: &Server) -> bool {
     server.member.state == ServerState::Ready
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -20,7 +20,7 @@
 use crate::interface::{ClassId, ListKind, Micros, ObjectId, Purge, ServerId, ServerState};
 use crate::net::{Clock, ConnKey, Net, Ready, Reason, Role};
 use crate::slots::Key;
-use crate::upstream::{self, Figures, Happening, Upstream};
+use crate::upstream::{self, Happening, Upstream};
 use crate::{GroupId, SettingsError};
 use bytes::Bytes;
 use log::{info, warn};
@@ -198,13 +198,7 @@
         let started = Started::of(&config);
         let names = config.settings.names;
         let budget = Budget::of(&config.limits);
-        let figures = Figures {
-            connect_timeout: names.connect_timeout,
-            idle: names.conn_idle,
-            streams: names.streams_per_conn,
-            most: budget.servers,
-            bytes: budget.answers,
-        };
+        let figures = budget.figures(&names);
         let mut server = Server {
             files,
             started,
@@ -713,10 +707,10 @@
 pub fn route_classes(signed: &Signed, settings: &Parsed) -> Result<Vec<(ClassId, Micros)>, ServerError> {
     let Parsed { names, settings } = settings;
     let class = |route: &crate::config::signed::Route| {
-        let place = names.classes.iter().position(|known| *known == route.class)?;
-        let class = settings.classes.get(place).filter(|class| !class.never_kept)?;
+        let id = names.class(&route.class)?;
+        let class = settings.classes.get(usize::from(id.0)).filter(|class| !class.never_kept)?;
         let patience = route.patience_ms.map_or(class.deadline, |ms| ms as Micros * 1000);
-        Some((ClassId(place as u16), patience))
+        Some((id, patience))
     };
     let found = signed.routes.iter().map(|route| {
         let bad = || ServerError::Route { path: route.path.clone(), class: route.class.clone() };
--- a/src/server/words.rs
+++ b/src/server/words.rs
@@ -38,8 +38,7 @@
 
 /// The class that a request names, whatever else is wrong with it.
 pub fn class(fields: &BTreeMap<String, String>, names: &Names) -> Option<ClassId> {
-    let route = fields.get("route")?;
-    names.classes.iter().position(|known| known == route).map(|class| ClassId(class as u16))
+    names.class(fields.get("route")?)
 }
 
 /// Reads a request's fields; unknown ones are ignored.
--- a/src/server/words/tests.rs
+++ b/src/server/words/tests.rs
@@ -5,7 +5,7 @@
 
 fn names() -> Names {
     let classes = vec!["replay".into(), "piece".into()];
-    Names { classes, deadlines: vec![6_000_000, 3_000_000], ..Names::default() }
+    Names { classes, retired: vec![false; 2], deadlines: vec![6_000_000, 3_000_000], ..Names::default() }
 }
 
 fn fields(changes: &[(&str, Option<&str>)]) -> BTreeMap<String, String> {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -224,9 +224,10 @@
         }
     }
 
-    /// Sets the connections and the bytes that may be held from now on.
-    pub fn set_budget(&mut self, most: usize, bytes: usize) {
-        (self.figures.most, self.figures.bytes) = (most, bytes);
+    /// Sets the figures that hold from now on. A shorter idle time that a server was seen to keep stays.
+    pub fn set_figures(&mut self, figures: Figures) {
+        let idle = figures.idle.min(self.figures.idle);
+        self.figures = Figures { idle, ..figures };
     }
 
     /// What has happened since the last call.
--- a/src/validate.rs
+++ b/src/validate.rs
@@ -75,6 +75,7 @@
         span("purge_grace", rules.purge_grace, 0)?;
         span("purge_settles", rules.purge_settles, 0)?;
         span("ask_within", rules.ask_within, 0)?;
+        span("max_attempts", i64::from(self.limits.max_attempts), 1)?;
         span("max_retry_after", self.limits.max_retry_after, 0)
     }
 }
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -28,6 +28,7 @@
             fresh: 0,
             grace: 0,
             never_kept: false,
+            retired: false,
         }],
         parent_kind: Some(PARENT),
         origin_kind: ORIGIN,
@@ -1050,3 +1051,25 @@
     bench.pass(2 * SECOND);
     assert_eq!(bench.router.known(), fleet().len() - 1);
 }
+
+#[test]
+fn new_settings_hold_for_new_requests_and_open_ones_keep_theirs() {
+    let mut bench = Bench::new(settings(), fleet());
+    let old = bench.get(7);
+    let mut fewer = settings();
+    fewer.limits.max_attempts = 1;
+    fewer.classes[0].retired = true;
+    fewer.classes.push(Class { effect: Effect::Unsafe, retired: false, ..fewer.classes[0].clone() });
+    bench.router.reconfigure(fewer);
+    let again = bench.end(&old, 0, AttemptResult::Error, None);
+    assert!(get_of(&again).is_some(), "it came when six attempts and a repeat were allowed");
+    for (class, answer) in [(0, false), (1, true)] {
+        bench.next += 1;
+        let new = Request { class: ClassId(class), ..request(bench.next, 8) };
+        let actions = bench.event(Event::Request(new));
+        let get = get_of(&actions).expect("an attempt");
+        let actions = bench.end(&get, 0, AttemptResult::Error, None);
+        assert!(get_of(&actions).is_none(), "one attempt is all");
+        assert_eq!(actions.contains(&Action::Fail(get.request)), answer, "{actions:?}");
+    }
+}
--- a/tests/sockets/operators.rs
+++ b/tests/sockets/operators.rs
@@ -2,6 +2,7 @@
 
 use crate::platform::{request, served, Client, Reply};
 use crate::stand_ins::*;
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
@@ -112,3 +113,105 @@
     assert_eq!(client.reply(), (1, served(b"x")));
     assert!(proxy.child.wait().expect("an end").success());
 }
+
+fn edit(proxy: &Proxy, change: impl Fn(&mut Value)) {
+    proxy.rewrite(|text| {
+        let mut config: Value = serde_json::from_str(text).expect("JSON");
+        change(&mut config);
+        config.to_string()
+    });
+}
+
+/// Drops `result`, adds `table`, makes `replay` a write, and leaves one attempt.
+fn retune(config: &mut Value) {
+    let settings = &mut config["settings"];
+    let mut table = settings["grades"][0].clone();
+    table["name"] = "table".into();
+    settings["grades"][0]["effect"] = "side_effect".into();
+    settings["grades"][1] = table;
+    settings["domain"]["goes_through"] = serde_json::json!([false, false]);
+    settings["limits"]["max_attempts"] = 1.into();
+}
+
+#[test]
+fn sighup_brings_new_classes_and_rules_and_what_is_open_keeps_its_own() {
+    let (cache, _parent, proxy, addr) = door("retune", str::to_owned);
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "replay"));
+    let mut open = cache.next();
+    edit(&proxy, retune);
+    proxy.signal("-HUP");
+    proxy.logged("reloaded: feed ");
+    open.answer("500", "-", b"");
+    let mut again = cache.next();
+    assert_eq!(again.words[1], open.words[1], "it may be repeated, as when it came");
+    again.answer("200", "ver=a", b"old");
+    assert_eq!(client.reply(), (1, served(b"old")));
+    client.send(&request(2, "table"));
+    let mut got = cache.next();
+    assert_eq!(got.field("cls"), Some("table"));
+    got.answer("200", "ver=a", b"new");
+    assert_eq!(client.reply(), (2, served(b"new")));
+    client.send(&request(3, "replay"));
+    cache.next().answer("500", "-", b"");
+    assert_eq!(client.reply(), (3, Reply::Failed), "it may not be repeated any more");
+    client.send(&request(4, "result"));
+    assert_eq!(client.reply(), (4, Reply::Exception), "there is no such class any more");
+    let keys = ["replies.replay.success", "replies.replay.error", "replies.table.success", "reload_success"];
+    assert_eq!(figures(&proxy, addr, keys), [1, 1, 1, 1]);
+}
+
+#[test]
+fn a_broken_file_changes_nothing_and_counts_as_a_failure() {
+    let (cache, _parent, proxy, addr) = door("broken", str::to_owned);
+    let whole = std::cell::RefCell::new(String::new());
+    proxy.rewrite(|text| {
+        *whole.borrow_mut() = text.to_owned();
+        text.to_owned()
+    });
+    let mut broken = vec![String::new(), whole.borrow()[..whole.borrow().len() / 2].to_owned()];
+    let mut breaks = |change: &dyn Fn(&mut Value)| {
+        let mut config: Value = serde_json::from_str(&whole.borrow()).expect("JSON");
+        retune(&mut config);
+        change(&mut config);
+        broken.push(config.to_string());
+    };
+    let paths = [
+        "feed",
+        "seed",
+        "known",
+        "settings",
+        "limits/cores",
+        "settings/skus",
+        "settings/grades",
+        "settings/report/names",
+        "settings/limits/conn_idle",
+        "settings/limits/max_attempts",
+        "settings/domain/fresh_for",
+        "settings/grades/0/name",
+        "settings/grades/1/deadline",
+    ];
+    for path in paths {
+        let (parent, key) = path.rsplit_once('/').unwrap_or(("", path));
+        let pointer = if parent.is_empty() { String::new() } else { format!("/{parent}") };
+        breaks(&|config| {
+            let parent = config.pointer_mut(&pointer).and_then(Value::as_object_mut).expect("an object");
+            parent.remove(key).expect("the key");
+        });
+    }
+    for value in [Value::from(0), Value::from(-1), Value::Null] {
+        breaks(&|config| config["settings"]["grades"][0]["deadline"] = value.clone());
+        breaks(&|config| config["settings"]["limits"]["max_attempts"] = value.clone());
+    }
+    breaks(&|config| config["settings"]["grades"][0]["name"] = "table".into());
+    for text in &broken {
+        proxy.rewrite(|_| text.clone());
+        proxy.signal("-HUP");
+        proxy.logged("the old configuration stays");
+    }
+    assert_eq!(figures(&proxy, addr, ["reload_success", "reload_failure"]), [0, broken.len() as u64]);
+    let mut client = Client::new(&proxy);
+    client.send(&request(1, "result"));
+    cache.next().answer("200", "ver=a", b"ran");
+    assert_eq!(client.reply(), (1, served(b"ran")));
+}
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -552,7 +552,7 @@
     proxy.logged("the old configuration stays");
     second.tell(&members(false, &hosts));
     proxy.logged("event 3: ");
-    proxy.rewrite(|text| format!("{{{}", text.replace("\"aim_stretch\": 2.0", "\"aim_stretch\": 3.0")));
+    proxy.rewrite(|text| format!("{{{}", text.replace("\"my_zone\": 1", "\"my_zone\": 0")));
     proxy.signal("-HUP");
     assert!(proxy.logged("reloaded: feed ").ends_with("the rest waits for a start"));
     proxy.signal("-TERM");
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -179,23 +179,7 @@
     format!(r#""members":{{"seq":1,"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
 }
 
-const SETTINGS: &str = r#"{"balancers": 1, "discovery": "automatic",
- "domain": {"class_grace": [0.0, 0.0], "collapses": false, "count_by_zone": [0, 1], "fresh_for": [0.0, 0.0],
-  "goes_through": [false, true], "hub_by_zone": [0, 0], "lateral": "location", "pace_kb_per_s": 8000.0,
-  "parent_cold": 19000.0, "parent_floor": 0.1, "pipe_kb_per_s": [0.0, 0.0], "purge_grace": 500.0,
-  "purge_settles": 6000.0, "root_kind": 2, "second_tier_kind": 1, "straight": true, "tells": "all",
-  "upper_fall_multiple": 2.0},
- "failure_domains": ["north", "edge-1"], "skus": ["small", "parent", "origin"],
- "grades": [{"aim_stretch": 2.0, "deadline": 6000.0, "dedup_scope": "all", "effect": "pure",
-  "name": "replay", "target": 5000.0, "window": 5000.0, "points": 1.0},
-  {"deadline": 6000.0, "dedup_scope": "all", "effect": "side_effect", "name": "result", "target": 5000.0,
-  "window": 5000.0, "points": 3.0}],
- "limits": {"cancel": true, "conn_idle": 15000.0, "connect_timeout": 400.0, "max_attempts": 6,
-  "max_retry_after": 1500.0, "may_probe": true, "parallel_tries": true, "peer_messages": false,
-  "retry_after": true, "streams_per_conn": 100},
- "my_zone": 1, "ordinal": 0, "report": {"how": "piggyback", "names": ["rif"]},
- "rules": {"ask_within": 10000.0, "cold_share": 0.3, "fall_multiple": 3.0, "overload_for": 1000.0,
-  "warm_after": 18000.0}}"#;
+const SETTINGS: &str = include_str!("../../src/config/settings/example.json");
 
 /// The edge proxy's process.
 pub struct Proxy {
