Upgrade under load: two processes listen, share the limits, and hand over at SIGTERM

At fault: listeners without SO_REUSEPORT. Built as designed: server::handover (Unix socket in TMPDIR), server::leave (empty the queue, close the listeners, end what falls idle), Budget by processes, Router::share for cold budgets. Tests: two upgrades in a row with a SIGHUP between, a newer process that ends early, a stale place, the shared budgets, the module's shared cold budget.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -247,6 +247,11 @@
         self.settings = settings;
     }
 
+    /// Tells how many processes serve as this edge proxy just now, and which of them this is.
+    pub fn share(&mut self, processes: u32, place: u32) {
+        self.router.share(processes, place);
+    }
+
     /// The next thing that the core wants done.
     pub fn command(&mut self) -> Option<Command> {
         self.commands.pop_front()
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -86,12 +86,14 @@
     gate: Gate,
     sessions: HashMap<ConnKey, Session>,
     gone: Vec<u64>,
+    /// Every answer is the last of its connection.
+    retired: bool,
 }
 
 impl Front {
     /// A front by the operator's file.
     pub fn new(config: Signed) -> Self {
-        Front { gate: Gate::new(&config), config, sessions: HashMap::new(), gone: Vec::new() }
+        Front { gate: Gate::new(&config), config, sessions: HashMap::new(), gone: Vec::new(), retired: false }
     }
 
     /// Takes over an operator's file that was read again, but for where it listens. What was let in stays.
@@ -132,6 +134,21 @@
         true
     }
 
+    /// From now on each connection ends with the answers that are open there: another process takes the clients.
+    pub fn retire(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        self.retired = true;
+        for conn in self.sessions.keys().copied().collect::<Vec<_>>() {
+            let unread = net.input(conn, |input| !input.is_empty()).unwrap_or(false);
+            let Some(session) = self.sessions.get_mut(&conn) else { continue };
+            if let Some(last) = session.turns.back_mut() {
+                (last.keep, session.last) = (false, true);
+            } else if session.count > 0 && !unread {
+                session.last = true;
+                self.finish(now, conn, net, due);
+            } // else its next answer is its last
+        }
+    }
+
     /// Whether this connection is a client's.
     pub fn owns(&self, conn: ConnKey) -> bool {
         self.sessions.contains_key(&conn)
@@ -195,7 +212,7 @@
                 let (state, only_head, keep) = match head {
                     Ok(None) => break,
                     Ok(Some(head)) => {
-                        let (only_head, keep) = (head.only_head, head.keep);
+                        let (only_head, keep) = (head.only_head, head.keep && !self.retired);
                         let number = session.count;
                         let state = match admit(&self.gate, &self.config, head, now) {
                             Err(answer) => State::Said(answer),
@@ -206,7 +223,9 @@
                         };
                         (state, only_head, keep)
                     }
-                    Err(Bad::Method { keep }) => (State::Said(Answer::bare(405)), false, keep),
+                    Err(Bad::Method { keep }) => {
+                        (State::Said(Answer::bare(405)), false, keep && !self.retired)
+                    }
                     Err(Bad::Oversize) => (State::Said(Answer::bare(431)), false, false),
                     Err(Bad::Malformed(why)) => {
                         info!("conn={conn} malformed: {why}");
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -91,12 +91,23 @@
     lingers: Option<i64>,
 }
 
+impl Session {
+    /// Whether all that it asked is answered and no further message has begun.
+    fn is_idle(&self, conn: ConnKey, net: &mut Net) -> bool {
+        let unread = |net: &mut Net| net.input(conn, |input| !input.is_empty()).unwrap_or(false);
+        let quiet = self.asked && self.lingers.is_none() && !self.more && self.open.is_empty();
+        quiet && net.unwritten(conn) == 0 && !unread(net)
+    }
+}
+
 /// The clients' connections.
 #[derive(Default)]
 pub struct Front {
     sessions: HashMap<ConnKey, Session>,
     /// Those that have more to read.
     turns: VecDeque<ConnKey>,
+    /// Each connection ends when it falls idle.
+    retired: bool,
 }
 
 impl Front {
@@ -140,6 +151,25 @@
         true
     }
 
+    /// From now on each connection ends as it falls idle: another process takes the clients.
+    pub fn retire(&mut self) {
+        self.retired = true;
+    }
+
+    /// A connection that has fallen idle, where they are to end then. One whose client has not asked yet is none: it
+    /// is about to.
+    pub fn fading(&self, net: &mut Net) -> Option<ConnKey> {
+        let mut all = self.sessions.iter().filter(|_| self.retired);
+        all.find(|(conn, session)| session.is_idle(**conn, net)).map(|(conn, _)| *conn)
+    }
+
+    /// Ends a connection that is still idle.
+    pub fn fade(&mut self, now: i64, conn: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        if self.sessions.get(&conn).is_some_and(|session| session.is_idle(conn, net)) {
+            self.end(now, conn, Reason::Stopping, net, due);
+        }
+    }
+
     /// Whether this connection is a client's.
     pub fn owns(&self, conn: ConnKey) -> bool {
         self.sessions.contains_key(&conn)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -170,6 +170,8 @@
 /// A router's decisions, as a pure state machine.
 pub struct Router {
     settings: Settings,
+    /// Processes that serve as this router just now, and this one's place among them.
+    shared: [u32; 2],
     random: Pcg64Mcg,
     servers: BTreeMap<ServerId, Server>,
     /// The ready caches of the own location, and the ready parents; brought up to date with the list.
@@ -202,6 +204,7 @@
         settings.check()?;
         Ok(Router {
             random: Pcg64Mcg::seed_from_u64(seed),
+            shared: [1, 0],
             servers: BTreeMap::new(),
             caches: Vec::new(),
             parents: Vec::new(),
@@ -230,6 +233,11 @@
         self.settings = settings;
     }
 
+    /// Tells how many processes serve as this router just now, and which this is: cold budgets are shared.
+    pub fn share(&mut self, processes: u32, place: u32) {
+        self.shared = [processes.max(1), place];
+    }
+
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -333,9 +341,7 @@
         let memory = self.crowd_memory();
         if let Some(to) = self.servers.get_mut(&server) {
             to.look(now, memory);
-            if to.out == 0 {
-                to.heard = now;
-            }
+            to.heard = if to.out == 0 { now } else { to.heard };
             to.out += 1;
         }
         if let Some(entry) = self.directory.get_mut(&object).filter(|_| delegated) {
@@ -649,9 +655,7 @@
         let mut asked: BTreeMap<ServerId, usize> = BTreeMap::new();
         let mut expired = Vec::new();
         for (id, open) in self.open.iter().filter(|(_, open)| !open.finished && !open.streaming) {
-            if open.arrived + open.request.patience <= now {
-                expired.push(*id);
-            }
+            expired.extend((open.arrived + open.request.patience <= now).then_some(*id));
             let allowed = patience + 2 * self.solo(&open.request) as Micros;
             for (i, a) in open.attempts.iter().enumerate().filter(|(_, a)| a.open) {
                 *asked.entry(a.source).or_default() += 1;
@@ -797,7 +801,8 @@
         let Some(server) = self.servers.get(&server) else { return false };
         let Some(budget) = self.cold_budget(now, server) else { return false };
         let work = self.mean[usize::from(class.0)].0 / SECOND as f64;
-        let sharers = self.sharers(server);
+        let [processes, place] = self.shared;
+        let (sharers, number) = (self.sharers(server) * processes, self.settings.ordinal * processes + place);
         let share = budget / f64::from(sharers);
         let span = self.settings.rules.fall_span.max(1);
         let age = now - server.member.up_since.unwrap_or(now);
@@ -808,7 +813,7 @@
         match turns {
             0 | 1 => sent + work > share,
             _ if work > budget => true,
-            _ => sent > 0.0 || (age / span + Micros::from(self.settings.ordinal)) % turns != 0,
+            _ => sent > 0.0 || (age / span + Micros::from(number)) % turns != 0,
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 use log::info;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
+use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read, Write};
 use std::net::SocketAddr;
@@ -22,6 +23,8 @@
 
 /// Bytes taken from a socket at a time.
 const CHUNK: usize = 64 * 1024;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
 /// Slices handed to one vectored write.
 const SLICES: usize = 16;
 
@@ -106,6 +109,23 @@
         })
     }
 
+    /// Listens on an address, beside another process if `shared`, and watches it under a number below 2^32.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on.
+    pub fn listen(&mut self, addr: SocketAddr, shared: bool, number: usize) -> io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(shared)?;
+        socket.bind(&addr.into())?;
+        socket.listen(BACKLOG)?;
+        let mut listener = TcpListener::from_std(socket.into());
+        self.watch(&mut listener, number)?;
+        Ok(listener)
+    }
+
     /// Watches a listener or another source under a number below 2^32.
     ///
     /// # Errors
--- a/src/server/figures.rs
+++ b/src/server/figures.rs
@@ -23,9 +23,9 @@
         let Some(door) = &mut self.door else { return };
         let Some(call) = door.front.ready(self.now, conn, &mut self.net, &mut self.due) else { return };
         let (status, body) = match call {
-            // One that stops takes no clients any more, or not for long.
+            Call::Healthcheck if self.takes_clients() => (200, "ok\n".into()),
             Call::Healthcheck if self.stopping.is_some() => (503, "stopping\n".into()),
-            Call::Healthcheck => (200, "ok\n".into()),
+            Call::Healthcheck => (503, "starting\n".into()),
             Call::Stats => (200, self.figures()),
         };
         if let Some(door) = &mut self.door {
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Whether clients are welcome: one that stops takes none any more, or not for long, and one without a list would
+    /// have to refuse them.
+    pub(super) fn takes_clients(&self) -> bool {
+        self.listed && self.stopping.is_none()
+    }
+
     /// All figures, a line each.
     pub(super) fn figures(&self) -> String {
         // A class whose rules were changed has had several numbers: its name's figures are the sum.
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -2,6 +2,8 @@
 //! feed to the core and translates between their words; it decides nothing about requests.
 
 mod figures;
+mod handover;
+mod leave;
 mod members;
 mod reload;
 mod words;
@@ -23,6 +25,7 @@
 use crate::upstream::{self, Happening, Upstream};
 use crate::{GroupId, SettingsError};
 use bytes::Bytes;
+use handover::{Handover, NEWER, OLDER, PLACE};
 use log::{info, warn};
 use members::Members;
 use mio::net::TcpListener;
@@ -31,6 +34,7 @@
 use signal_hook_mio::v1_0::Signals;
 use std::collections::{HashMap, HashSet};
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The numbers under which the loop watches what is no connection.
@@ -41,12 +45,6 @@
 
 /// A client counts its patience from its send; the request has been under way for about this long, us.
 const WAY: Micros = 12_000;
-/// After the signal to stop, new requests may come for 0.6 s: all of them are answered, us.
-const STOP_AFTER: Micros = 800_000;
-/// Longer than the longest deadline nothing is waited for, us.
-const STOP_AT_LAST: Micros = 30_000_000;
-/// How often the end is looked for then, us.
-const STOP_LOOK: Micros = 20_000;
 /// The pause before connections are taken again when descriptors ran out, us.
 const ACCEPT_AGAIN: Micros = 50_000;
 /// Connections taken at a turn, and the pause before the next one, us: hundreds at once wait for each other and not
@@ -89,7 +87,7 @@
     #[error("{addr}: {error}")]
     Listen {
         /// The address.
-        addr: std::net::SocketAddr,
+        addr: SocketAddr,
         /// Why.
         error: io::Error,
     },
@@ -131,7 +129,7 @@
 
 /// The second front, where there is one.
 struct Links {
-    listener: TcpListener,
+    listener: Option<TcpListener>,
     front: signed::Front,
     /// Each route's class, and how long its answers are waited for.
     classes: Vec<(ClassId, Micros)>,
@@ -167,9 +165,13 @@
     /// Bytes of the bodies that these requests brought.
     bodies: usize,
     names: Names,
-    listener: TcpListener,
+    /// None once a newer process takes the clients.
+    listener: Option<TcpListener>,
     signals: Signals,
+    handover: Handover,
     budget: Budget,
+    /// Whether the list of servers has been had.
+    listed: bool,
     stopping: Option<Micros>,
     stopped: bool,
 }
@@ -188,16 +190,17 @@
         let (config, signed) = files.read()?;
         let mut clock = Clock::default();
         let now = clock.now();
-        let listener = listen(&mut net, config.listen, LISTENER)?;
+        let listener = listen(&mut net, config.listen, true, LISTENER)?;
+        let addr = listener.local_addr()?;
         let links = signed.map(|signed| Links::start(signed, &config, &mut net)).transpose()?;
         let door = config.admin.map(|addr| {
-            let listener = listen(&mut net, addr, ADMIN)?;
+            let listener = listen(&mut net, addr, false, ADMIN)?;
             Ok::<_, ServerError>(Door { listener, front: admin::Front::default() })
         });
         let door = door.transpose()?;
         let started = Started::of(&config);
         let names = config.settings.names;
-        let budget = Budget::of(&config.limits);
+        let budget = Budget::of(&config.limits, 1);
         let figures = budget.figures(&names);
         let mut server = Server {
             files,
@@ -215,8 +218,10 @@
             ids: HashSet::new(),
             bodies: 0,
             due: Deadlines::default(),
-            listener,
+            listener: Some(listener),
+            handover: Handover::begin(addr, &mut net),
             budget,
+            listed: false,
             stopping: None,
             stopped: false,
             clock,
@@ -225,11 +230,12 @@
             names,
             signals,
         };
+        server.share();
         server.news(config.known);
         server.feed.start(now, &mut server.net, &mut server.due);
-        info!("{} listens on {}", config.name, server.listener.local_addr()?);
-        if let Some(links) = &server.links {
-            info!("links are served on {}", links.listener.local_addr()?);
+        info!("{} listens on {addr}", config.name);
+        if let Some(listener) = server.links.as_ref().and_then(|links| links.listener.as_ref()) {
+            info!("links are served on {}", listener.local_addr()?);
         }
         if let Some(door) = &server.door {
             info!("operators are answered on {}", door.listener.local_addr()?);
@@ -266,7 +272,10 @@
                 self.on_ready(Ready::Conn { key: conn, read: true, write: false });
                 self.pump();
             }
+            self.fade();
+            self.handover.tell(self.clients());
         }
+        self.handover.end(&mut self.net);
         self.thrift.stop(self.now, &mut self.net, &mut self.due);
         if let Some(links) = &mut self.links {
             links.front.stop(self.now, &mut self.net, &mut self.due);
@@ -289,6 +298,11 @@
     fn on_ready(&mut self, ready: Ready) {
         match ready {
             Ready::Source(ADMIN) => self.accept_callers(),
+            Ready::Source(number @ (PLACE | OLDER | NEWER)) => {
+                if self.handover.ready(number, &mut self.net) {
+                    self.share();
+                }
+            }
             Ready::Source(LISTENER | LINKS) => self.accept(),
             Ready::Source(_) => {
                 let signals: Vec<i32> = self.signals.pending().collect();
@@ -296,9 +310,7 @@
                     self.reload();
                 }
                 if signals.iter().any(|signal| *signal != SIGHUP) && self.stopping.is_none() {
-                    info!("stopping");
-                    self.stopping = Some(self.now);
-                    self.due.add(self.now + STOP_AFTER, Due::Stop);
+                    self.stop();
                 }
             }
             Ready::Conn { key, read, write } => {
@@ -349,17 +361,6 @@
         }
     }
 
-    fn look_for_end(&mut self) {
-        let begun = self.stopping.unwrap_or(self.now);
-        let flushed = self.links.as_ref().is_none_or(|links| links.front.is_flushed(&self.net));
-        let idle = self.core.unanswered() == 0 && self.thrift.is_flushed(&self.net) && flushed;
-        if idle || begun + STOP_AT_LAST <= self.now {
-            self.stopped = true;
-        } else {
-            self.due.add(self.now + STOP_LOOK, Due::Stop);
-        }
-    }
-
     fn accept(&mut self) {
         for role in [Role::Thrift, Role::Signed] {
             for taken in 0.. {
@@ -368,20 +369,29 @@
                     break;
                 }
                 let Some(conn) = self.accept_one(role) else { break };
-                if !self.has_room() {
-                    self.net.close(self.now, conn, Reason::TooMany);
-                } else if role == Role::Thrift {
-                    self.thrift.open(self.now, conn, &mut self.due);
-                } else if let Some(links) = &mut self.links {
-                    links.front.open(self.now, conn, &mut self.due);
-                }
+                self.take_in(role, conn);
             }
         }
     }
 
+    fn take_in(&mut self, role: Role, conn: ConnKey) {
+        if !self.has_room() {
+            self.net.close(self.now, conn, Reason::TooMany);
+        } else if role == Role::Thrift {
+            self.thrift.open(self.now, conn, &mut self.due);
+        } else if let Some(links) = &mut self.links {
+            links.front.open(self.now, conn, &mut self.due);
+        }
+    }
+
+    /// Connections of clients that this process holds.
+    fn clients(&self) -> usize {
+        self.net.count(Role::Thrift) + self.net.count(Role::Signed)
+    }
+
     /// Whether clients are within their budget, or one that is missed less than a new one could be ended.
     fn has_room(&mut self) -> bool {
-        let clients = self.net.count(Role::Thrift) + self.net.count(Role::Signed);
+        let clients = self.clients() + self.handover.clients();
         let links = self.links.as_mut().map(|links| &mut links.front);
         clients <= self.budget.clients
             || self.thrift.evict(self.now, &mut self.net, &mut self.due)
@@ -390,9 +400,9 @@
 
     fn accept_one(&mut self, role: Role) -> Option<ConnKey> {
         let listener = match role {
-            Role::Thrift => &self.listener,
+            Role::Thrift => self.listener.as_ref()?,
             Role::Admin => &self.door.as_ref()?.listener,
-            _ => &self.links.as_ref()?.listener,
+            _ => self.links.as_ref()?.listener.as_ref()?,
         };
         match self.net.accept(self.now, listener, role) {
             Ok(conn) => conn,
@@ -589,7 +599,7 @@
                     self.say(conn, seqid, refused);
                 }
                 thrift::Ask::Ping { conn, seqid } => {
-                    self.say(conn, seqid, Reply::Pong(self.stopping.is_none()));
+                    self.say(conn, seqid, Reply::Pong(self.takes_clients()));
                 }
                 thrift::Ask::Gone(number) => self.gone(number),
             }
@@ -647,6 +657,7 @@
     fn news(&mut self, batch: Batch) {
         for Numbered { n, members, purge } in batch.events {
             if let Some(change) = members {
+                self.listed |= change.whole;
                 let mut entries: Vec<_> = Vec::with_capacity(change.hosts.len());
                 for host in &change.hosts {
                     let member = self.members.member(host, &self.names);
@@ -683,18 +694,14 @@
     }
 }
 
-fn listen(net: &mut Net, addr: std::net::SocketAddr, number: usize) -> Result<TcpListener, ServerError> {
-    let listener = TcpListener::bind(addr).and_then(|mut listener| {
-        net.watch(&mut listener, number)?;
-        Ok(listener)
-    });
-    listener.map_err(|error| ServerError::Listen { addr, error })
+fn listen(net: &mut Net, addr: SocketAddr, shared: bool, number: usize) -> Result<TcpListener, ServerError> {
+    net.listen(addr, shared, number).map_err(|error| ServerError::Listen { addr, error })
 }
 
 impl Links {
     fn start(signed: Signed, config: &Config, net: &mut Net) -> Result<Self, ServerError> {
         let classes = route_classes(&signed, &config.settings)?;
-        let listener = listen(net, signed.listen, LINKS)?;
+        let listener = Some(listen(net, signed.listen, true, LINKS)?);
         Ok(Links { listener, classes, front: signed::Front::new(signed) })
     }
 }
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -31,12 +31,14 @@
 }
 
 impl Budget {
-    pub fn of(limits: &Limits) -> Self {
-        let memory = limits.memory_mb as f64 * 1e6;
-        let sockets = limits.sockets.saturating_sub(OTHER_SOCKETS);
+    /// What the limits leave to one of so many processes that serve as one edge proxy. Clients' connections are counted
+    /// together, since nobody says which process gets them; the rest is divided.
+    pub fn of(limits: &Limits, processes: usize) -> Self {
+        let memory = limits.memory_mb as f64 * 1e6 / processes as f64;
+        let sockets = limits.sockets.saturating_sub(OTHER_SOCKETS * processes);
         let usual = limits.sockets.div_ceil(3).min(sockets / 2 + 1);
         let clients = usual + (sockets - usual) / NEWCOMERS;
-        let servers = sockets.saturating_sub(clients);
+        let servers = sockets.saturating_sub(clients) / processes;
         Budget { clients, servers, requests: (memory * FULL) as usize, answers: (memory * NO_ROOM) as usize }
     }
 
@@ -57,13 +59,14 @@
     name: String,
     listen: SocketAddr,
     keys: BTreeSet<String>,
+    limits: Limits,
     settings: Parsed,
 }
 
 impl Started {
     pub fn of(config: &Config) -> Self {
         let (name, keys, settings) = (config.name.clone(), config.keys.clone(), config.settings.clone());
-        Started { name, listen: config.listen, keys, settings }
+        Started { name, listen: config.listen, keys, limits: config.limits, settings }
     }
 }
 
@@ -80,6 +83,15 @@
         }
     }
 
+    /// Keeps to this process's share of the limits.
+    pub(super) fn share(&mut self) {
+        let (processes, place) = self.handover.processes();
+        self.budget = Budget::of(&self.started.limits, processes);
+        self.upstream.set_figures(self.budget.figures(&self.names));
+        self.upstream.trim(self.now, &mut self.net, &mut self.due);
+        self.core.share(processes as u32, place as u32);
+    }
+
     /// All that can fail comes first, so that nothing is taken over in part.
     fn take_over(&mut self) -> Result<(), ServerError> {
         let (config, signed) = self.files.read()?;
@@ -93,11 +105,10 @@
         let routes = routes.transpose()?;
         let waits = moved || (&name, listen) != (&self.started.name, self.started.listen);
         let (name, listen) = (self.started.name.clone(), self.started.listen);
-        self.budget = Budget::of(&limits);
-        self.upstream.set_figures(self.budget.figures(&settings.names));
         self.core.reconfigure(settings.settings.clone());
         self.names = settings.names.clone();
-        self.started = Started { name, listen, keys, settings };
+        self.started = Started { name, listen, keys, limits, settings };
+        self.share();
         if let (Some(links), Some((classes, signed))) = (&mut self.links, routes) {
             links.classes = classes;
             links.front.reload(signed);
@@ -107,3 +118,22 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Two processes count as one edge proxy.
+    #[test]
+    fn what_two_processes_may_hold_together_is_what_one_may() {
+        for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 192)] {
+            let limits = Limits { memory_mb, sockets };
+            let (one, two) = (Budget::of(&limits, 1), Budget::of(&limits, 2));
+            assert!(one.clients + one.servers + OTHER_SOCKETS <= sockets);
+            // Clients' connections are counted together.
+            assert!(two.clients + 2 * (two.servers + OTHER_SOCKETS) <= sockets, "{sockets}");
+            assert!(two.clients >= sockets.div_ceil(3), "usual clients hold up to a third");
+            assert!(2 * two.answers <= one.answers && 2 * two.requests <= one.requests);
+        }
+    }
+}
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -230,6 +230,18 @@
         self.figures = Figures { idle, ..figures };
     }
 
+    /// Closes idle connections while there are more than may be held.
+    pub fn trim(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let idle = self.links.iter().filter(|(_, link)| link.up && link.open.is_empty());
+        let mut idle: Vec<(i64, ConnKey)> = idle.map(|(key, link)| (link.rests, *key)).collect();
+        idle.sort_unstable();
+        for (_, key) in idle {
+            if net.count(Role::Upstream) > self.figures.most {
+                self.drop_link(now, key, Reason::Evicted, net, due);
+            }
+        }
+    }
+
     /// What has happened since the last call.
     pub fn happened(&mut self) -> Vec<Happening> {
         std::mem::take(&mut self.happened)
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -1073,3 +1073,21 @@
         assert_eq!(actions.contains(&Action::Fail(get.request)), answer, "{actions:?}");
     }
 }
+
+/// Two processes of one router would else spend a cold cache's budget twice.
+#[test]
+fn processes_that_serve_as_one_router_share_a_cold_caches_budget() {
+    let sent = |processes: u32| -> usize {
+        let mut list = fleet();
+        list.retain(|m| m.kind != CACHE || m.server == ServerId(1));
+        let mut bench = Bench::new(settings(), list.clone());
+        bench.now = SECOND;
+        list[0].up_since = Some(SECOND);
+        bench.list(ListKind::Delta, vec![list[0]]);
+        bench.router.share(processes, 0);
+        let large = |id| Event::Request(Request { size_kb: 1000.0, ..request(id, id) });
+        (0..200).filter(|id| get_of(&bench.event(large(*id))).is_some()).count()
+    };
+    let (alone, shared) = (sent(1), sent(2));
+    assert!(shared > 0 && 2 * shared <= alone, "{alone} alone, {shared} shared");
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,3 +4,4 @@
 mod operators;
 mod platform;
 mod stand_ins;
+mod upgrade;
--- a/tests/sockets/operators.rs
+++ b/tests/sockets/operators.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 /// A proxy of one cache with a door, and the door's address.
-fn door(name: &str, change: impl Fn(&str) -> String) -> (Cache, Cache, Proxy, SocketAddr) {
+pub fn door(name: &str, change: impl Fn(&str) -> String) -> (Cache, Cache, Proxy, SocketAddr) {
     let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
     let opened = |text: &str| change(text).replacen('{', "{\"admin\":\"127.0.0.1:0\",", 1);
     let proxy = Proxy::start(name, &[&cache, &parent], opened, &[]);
@@ -39,7 +39,7 @@
         .collect()
 }
 
-fn figures<const N: usize>(proxy: &Proxy, addr: SocketAddr, keys: [&str; N]) -> [u64; N] {
+pub fn figures<const N: usize>(proxy: &Proxy, addr: SocketAddr, keys: [&str; N]) -> [u64; N] {
     let stats = stats(proxy, addr);
     keys.map(|key| *stats.get(key).unwrap_or_else(|| panic!("no {key} in {stats:?}")))
 }
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -213,11 +213,22 @@
         );
         let path = folder(name).join("config.json");
         std::fs::write(&path, change(&config)).expect("a file");
-        let config = path.clone();
+        Self::spawn(path, feed, more)
+    }
+
+    /// Starts a newer process beside this one: the same files, folder and addresses but for the door's.
+    pub fn newer(&self, more: &[&str]) -> Self {
+        let addr = self.addr.to_string();
+        self.rewrite(|text| text.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{addr}\"")));
+        Self::spawn(self.config.clone(), self.feed.clone(), more)
+    }
+
+    fn spawn(config: std::path::PathBuf, feed: Feed, more: &[&str]) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_dahliatrack"))
             .args(["serve", "--config"])
-            .arg(&path)
+            .arg(&config)
             .args(more)
+            .env("TMPDIR", config.parent().expect("a folder"))
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
--- /dev/null
+++ b/tests/sockets/upgrade.rs
@@ -0,0 +1,78 @@
+//! A newer process takes over from an older one under load.
+
+use crate::operators::{door, figures, get};
+use crate::platform::{request, served, Client};
+use crate::stand_ins::*;
+
+/// Asks on a connection of its own and is answered.
+fn ask(proxy: &Proxy, cache: &Cache, seqid: i32) -> Client {
+    let mut client = Client::new(proxy);
+    client.send(&request(seqid, "replay"));
+    cache.next().answer("200", "ver=a", b"x");
+    assert_eq!(client.reply(), (seqid, served(b"x")));
+    client
+}
+
+#[test]
+fn an_upgrade_answers_what_is_open_and_leaves_what_comes_to_the_newer_process() {
+    let (cache, _parent, mut old, _) = door("upgrade", str::to_owned);
+    for round in 0..2 {
+        let mut idle = ask(&old, &cache, 10);
+        let mut busy = Client::new(&old);
+        busy.send(&request(20, "result"));
+        let mut open = cache.next();
+        let new = old.newer(&["--admin", "127.0.0.1:0"]);
+        let addr = new.logged("operators are answered on ").parse().expect("an address");
+        assert_eq!((new.addr, get(&new, addr, "/healthcheck").0), (old.addr, 200));
+        old.logged("a newer process takes over");
+        old.signal("-TERM");
+        old.logged("clients are left to the newer process");
+        assert!(idle.is_closed(), "it was idle, round {round}");
+        // Only the newer process listens now.
+        let mut next = ask(&new, &cache, 30);
+        assert_eq!(figures(&new, addr, ["replies.replay.success"]), [1]);
+        open.answer("200", "ver=a", b"ran");
+        assert_eq!(busy.reply(), (20, served(b"ran")), "what was open is answered, round {round}");
+        assert!(busy.is_closed());
+        assert!(old.child.wait().expect("an end").success());
+        new.logged("the older process has ended");
+        new.signal("-HUP");
+        new.logged("reloaded: feed ");
+        next.send(&request(31, "replay"));
+        cache.next().answer("200", "ver=a", b"y");
+        assert_eq!(next.reply(), (31, served(b"y")));
+        old = new;
+    }
+}
+
+#[test]
+fn a_newer_process_that_ends_early_leaves_the_older_one_serving_and_to_be_found() {
+    let (cache, _parent, old, _) = door("early", str::to_owned);
+    let new = old.newer(&["--admin", "127.0.0.1:0"]);
+    new.logged("operators are answered on ");
+    old.logged("a newer process takes over");
+    drop(new);
+    old.logged("the newer process has ended");
+    ask(&old, &cache, 1);
+    let next = old.newer(&["--admin", "127.0.0.1:0"]);
+    next.logged("operators are answered on ");
+    old.logged("a newer process takes over");
+    old.signal("-TERM");
+    old.logged("clients are left to the newer process");
+    ask(&next, &cache, 2);
+}
+
+/// A place that a killed process left behind is no process.
+#[test]
+fn a_stale_place_is_taken() {
+    let (cache, _parent, mut old, _) = door("stale", str::to_owned);
+    old.child.kill().expect("killed");
+    old.child.wait().expect("an end");
+    let new = old.newer(&["--admin", "127.0.0.1:0"]);
+    new.logged("operators are answered on ");
+    ask(&new, &cache, 1);
+    let next = new.newer(&["--admin", "127.0.0.1:0"]);
+    new.logged("a newer process takes over");
+    next.signal("-TERM");
+    new.logged("the newer process has ended");
+}
