Hand clients' connections to the newer process instead of ending them

Seen: 60 requests lost where a connection never fell idle before the end by force (SIGKILL 3.17 s after SIGTERM). At fault: server/leave.rs ended connections only when idle, and waited 3.3 s whatever the deadlines. Now the descriptor goes by SCM_RIGHTS with the bytes read and not used; reading stops earlier the longer it takes; what is open before the force gets its answer (Core::expire).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -475,6 +475,13 @@
         self.run(now, due);
     }
 
+    /// Ends the time of all requests: each that is open gets its final answer now.
+    pub fn expire(&mut self, now: Micros, due: &mut dyn Schedule<Due>) {
+        for key in self.requests.iter().map(|(key, _)| key).collect::<Vec<_>>() {
+            self.on_patience(now, key, due);
+        }
+    }
+
     /// The advice on staying away that the module gives a class's clients.
     pub fn pause(&self, class: ClassId) -> Micros {
         self.router.advice(class)
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -293,3 +293,18 @@
         assert_eq!(order.max_age, limit, "{what:?}");
     }
 }
+
+/// A process that is about to be ended by force would leave what is open without an answer.
+#[test]
+fn when_its_time_is_ended_every_open_request_has_its_answer() {
+    let mut bench = Bench::new();
+    let (read, _) = bench.launched(0, None);
+    let write = bench.ask(0, 1, None);
+    bench.core.expire(100 * MS, &mut bench.due);
+    let (words, _) = bench.commands();
+    assert_eq!(words.iter().filter(|word| **word == "answer").count(), 2, "{words:?}");
+    for request in [read, write] {
+        assert!(matches!(bench.take(100 * MS, request), Some(Final::Failed { .. } | Final::Refused { .. })));
+    }
+    assert_eq!(bench.core.unanswered(), 0);
+}
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -86,6 +86,8 @@
     asked: bool,
     /// There may be more to read than its turn allowed.
     more: bool,
+    /// Nothing more is read: it is to be handed on once what is open is answered.
+    paused: bool,
     /// All is said, and the client is to close: closing first, with its bytes unread, would reset the connection
     /// and could take the last answers away from it.
     lingers: Option<i64>,
@@ -122,6 +124,7 @@
             begun: Some(now),
             asked: false,
             more: false,
+            paused: false,
             lingers: None,
         };
         self.sessions.insert(conn, session);
@@ -156,6 +159,41 @@
         self.retired = true;
     }
 
+    /// Takes in a connection that another process had: its client may have asked there already.
+    pub fn adopt(&mut self, now: i64, conn: ConnKey, due: &mut dyn Schedule<Due>) {
+        self.open(now, conn, due);
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            (session.asked, session.begun) = (true, None);
+        }
+    }
+
+    /// The connections that can be handed on: nothing is open there. From now on, nothing is read where no more than
+    /// `most` requests are open.
+    pub fn to_hand_on(&mut self, most: usize, net: &Net) -> Vec<ConnKey> {
+        let mut all: Vec<ConnKey> = Vec::new();
+        for (conn, session) in self.sessions.iter_mut().filter(|(_, session)| session.lingers.is_none()) {
+            session.paused |= session.open.len() <= most;
+            if session.open.is_empty() && net.unwritten(*conn) == 0 {
+                all.push(*conn);
+            }
+        }
+        all
+    }
+
+    /// Forgets a connection that was handed on.
+    pub fn handed_on(&mut self, conn: ConnKey, due: &mut dyn Schedule<Due>) {
+        let look = self.sessions.remove(&conn).and_then(|session| session.look);
+        look.into_iter().for_each(|handle| due.remove(handle));
+    }
+
+    /// Reads again everywhere: there is nobody to hand connections to.
+    pub fn resume(&mut self) {
+        for (conn, session) in self.sessions.iter_mut().filter(|(_, session)| session.paused) {
+            (session.paused, session.more) = (false, true);
+            self.turns.push_back(*conn);
+        }
+    }
+
     /// A connection that has fallen idle, where they are to end then. One whose client has not asked yet is none: it
     /// is about to.
     pub fn fading(&self, net: &mut Net) -> Option<ConnKey> {
@@ -248,6 +286,9 @@
 
     fn read(&mut self, now: i64, conn: ConnKey, net: &mut Net, asks: &mut Vec<Ask>) -> Result<(), Reason> {
         let mut taken = 0;
+        if self.sessions.get(&conn).is_some_and(|session| session.paused) {
+            return Ok(());
+        }
         // Its next read comes with the write event that says that some bytes were taken.
         while net.unwritten(conn) < MOST_UNWRITTEN {
             let got = net.read(conn, MOST_FRAME + PREFIX)?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -386,6 +386,38 @@
         Ok(())
     }
 
+    /// Takes in a connection that another process had, with what was read there and not used.
+    ///
+    /// # Errors
+    ///
+    /// It is broken, or can't be watched.
+    pub fn adopt(
+        &mut self,
+        now: i64,
+        stream: std::net::TcpStream,
+        role: Role,
+        input: &[u8],
+    ) -> io::Result<ConnKey> {
+        stream.set_nonblocking(true)?;
+        let peer = stream.peer_addr()?;
+        let key = self.add(now, TcpStream::from_std(stream), role, peer)?;
+        self.held += input.len();
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.input.extend_from_slice(input);
+        }
+        Ok(key)
+    }
+
+    /// Gives a connection to `to`, with what was read there and not used; if it takes it, the connection goes on without
+    /// this process.
+    pub fn hand_on(&mut self, now: i64, key: ConnKey, to: impl FnOnce(&TcpStream, &[u8]) -> bool) -> bool {
+        let went = self.conns.get(key).is_some_and(|conn| to(&conn.stream, &conn.input));
+        if went {
+            self.close(now, key, Reason::HandedOn);
+        }
+        went
+    }
+
     /// Says to the peer that nothing more is written.
     pub fn shutdown(&mut self, key: ConnKey) {
         if let Some(conn) = self.conns.get(key) {
--- a/src/net/reason.rs
+++ b/src/net/reason.rs
@@ -33,6 +33,8 @@
     Replaced,
     /// All was said.
     Done,
+    /// Another process of this edge proxy has it now.
+    HandedOn,
     /// The edge proxy stops.
     Stopping,
 }
@@ -56,6 +58,7 @@
             Reason::Silent => "silent",
             Reason::Replaced => "replaced",
             Reason::Done => "done",
+            Reason::HandedOn => "handed-on",
             Reason::Stopping => "stopping",
         }
     }
--- a/src/server/handover.rs
+++ b/src/server/handover.rs
@@ -1,50 +1,123 @@
 //! How two processes of one edge proxy know of each other while the newer takes over from the older: by a Unix socket
-//! in `$TMPDIR`, named after the clients' address. Each sees the other's end at once, as the end of a stream, and each
-//! tells the other how many clients' connections it holds, since they share one limit.
+//! in `$TMPDIR`, named after the clients' address. Each sees the other's end at once, as the end of a stream; each tells
+//! the other how many clients' connections it holds, since they share one limit; and the older hands its connections on.
 
 use crate::net::Net;
 use log::{info, warn};
 use mio::net::{UnixListener, UnixStream};
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use rustix::net::{recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
+use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Write};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 
 /// The numbers under which the loop watches what belongs to this.
 pub(super) const PLACE: usize = 4;
 pub(super) const OLDER: usize = 5;
 pub(super) const NEWER: usize = 6;
-/// Bytes of a message: the sender's count of clients' connections.
-const MESSAGE: usize = 4;
+/// Bytes of a message's head: its kind, and a number.
+const HEAD: usize = 5;
+/// The number is the sender's count of clients' connections.
+const COUNT: u8 = 0;
+/// A connection comes with the message; the number is the length of the bytes that were read there and not used.
+const CONNECTION: u8 = 1;
+/// More than a client's longest frame: a larger number is no message.
+const MOST_UNUSED: usize = 1 << 20;
+/// Descriptors that one read may bring.
+const AT_ONCE: usize = 16;
+
+/// A client's connection, and what was read there and not used.
+pub(super) type Handed = (TcpStream, Vec<u8>);
 
 /// The other process's end.
 struct Sibling {
     stream: UnixStream,
     clients: usize,
     part: Vec<u8>,
+    fds: VecDeque<OwnedFd>,
+    /// The rest of a message that did not go whole.
+    rest: Vec<u8>,
 }
 
 impl Sibling {
     fn new(mut stream: UnixStream, number: usize, net: &mut Net) -> io::Result<Self> {
         net.watch(&mut stream, number)?;
-        Ok(Sibling { stream, clients: 0, part: Vec::new() })
+        Ok(Sibling { stream, clients: 0, part: Vec::new(), fds: VecDeque::new(), rest: Vec::new() })
     }
 
-    /// Takes in what it told; `false`: it has ended.
-    fn read(&mut self) -> bool {
-        let mut bytes = [0; 256];
+    /// Takes in what it sent; `false`: it has ended.
+    fn read(&mut self, handed: &mut Vec<Handed>) -> bool {
+        let mut bytes = [0; 4096];
         loop {
-            match self.stream.read(&mut bytes) {
-                Ok(0) => return false,
-                Ok(n) => self.part.extend_from_slice(&bytes[..n]),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(AT_ONCE))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let flags = RecvFlags::CMSG_CLOEXEC;
+            match recvmsg(&self.stream, &mut [IoSliceMut::new(&mut bytes)], &mut control, flags) {
+                Ok(got) if got.bytes == 0 => return false,
+                Ok(got) => self.part.extend_from_slice(&bytes[..got.bytes]),
+                Err(rustix::io::Errno::INTR) => continue,
+                Err(rustix::io::Errno::AGAIN) => return true,
                 Err(_) => return false,
             }
-            while let Some(message) = self.part.first_chunk::<MESSAGE>() {
-                self.clients = u32::from_be_bytes(*message) as usize;
-                self.part.drain(..MESSAGE);
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(fds) = message {
+                    self.fds.extend(fds);
+                }
+            }
+            if !self.messages(handed) {
+                return false;
+            }
+        }
+    }
+
+    /// Takes the whole messages out of what has come; `false`: it is something else.
+    fn messages(&mut self, handed: &mut Vec<Handed>) -> bool {
+        while let Some([kind, number @ ..]) = self.part.first_chunk::<HEAD>() {
+            let number = u32::from_be_bytes(*number) as usize;
+            let length = match *kind {
+                COUNT => 0,
+                CONNECTION if number <= MOST_UNUSED => number,
+                _ => return false,
+            };
+            if self.part.len() < HEAD + length {
+                break;
+            }
+            if *kind == COUNT {
+                self.clients = number;
+            } else {
+                // A descriptor comes no later than its message's first byte.
+                let Some(fd) = self.fds.pop_front() else { return false };
+                handed.push((TcpStream::from(fd), self.part[HEAD..HEAD + length].to_vec()));
             }
+            self.part.drain(..HEAD + length);
         }
+        true
+    }
+
+    /// Sends a message, with a descriptor perhaps; `false`: nothing of it went.
+    fn send(&mut self, kind: u8, number: usize, bytes: &[u8], stream: Option<&mio::net::TcpStream>) -> bool {
+        while !self.rest.is_empty() {
+            match self.stream.write(&self.rest) {
+                Ok(n) => drop(self.rest.drain(..n)),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        let [a, b, c, d] = u32::try_from(number).unwrap_or(u32::MAX).to_be_bytes();
+        let head = [kind, a, b, c, d];
+        let fds: Vec<_> = stream.iter().map(|stream| stream.as_fd()).collect();
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        if !fds.is_empty() && !control.push(SendAncillaryMessage::ScmRights(&fds)) {
+            return false;
+        }
+        let parts = [IoSlice::new(&head), IoSlice::new(bytes)];
+        let Ok(sent) = sendmsg(&self.stream, &parts, &mut control, SendFlags::NOSIGNAL) else { return false };
+        self.rest = [&head[..], bytes].concat().split_off(sent);
+        true
     }
 }
 
@@ -61,8 +134,8 @@
 impl Handover {
     /// Finds the process that serves these clients' address now, and takes its place for the next one.
     pub fn begin(addr: SocketAddr, net: &mut Net) -> Self {
-        // Short: the system takes about a hundred bytes of such a path.
-        let path = std::env::temp_dir().join(format!("dt-{}-{}", addr.ip(), addr.port()));
+        // Short: the system takes about a hundred bytes of such a path. Its number is that of the messages' form.
+        let path = std::env::temp_dir().join(format!("dt1-{}-{}", addr.ip(), addr.port()));
         let older = match UnixStream::connect(&path).and_then(|stream| Sibling::new(stream, OLDER, net)) {
             Ok(older) => Some(older),
             // A place without a process is of one that was killed; without a place it is the first.
@@ -94,8 +167,9 @@
         self.place = taken.map_err(|error| warn!("{}: {error}; no upgrade", self.path.display())).ok();
     }
 
-    /// Something watched under this number is ready; whether the processes are others now.
-    pub fn ready(&mut self, number: usize, net: &mut Net) -> bool {
+    /// Something watched under this number is ready; whether the processes are others now. Connections that the older
+    /// process hands on are added to `handed`.
+    pub fn ready(&mut self, number: usize, net: &mut Net, handed: &mut Vec<Handed>) -> bool {
         match number {
             PLACE => {
                 let accepted = self.place.as_ref().map(UnixListener::accept);
@@ -109,12 +183,12 @@
                 }
                 true
             }
-            OLDER if self.older.as_mut().is_some_and(|older| !older.read()) => {
+            OLDER if self.older.as_mut().is_some_and(|older| !older.read(handed)) => {
                 info!("the older process has ended");
                 self.older = None;
                 true
             }
-            NEWER if self.newer.as_mut().is_some_and(|newer| !newer.read()) => {
+            NEWER if self.newer.as_mut().is_some_and(|newer| !newer.read(handed)) => {
                 warn!("the newer process has ended");
                 self.newer = None;
                 self.take_place(net);
@@ -145,17 +219,21 @@
         if self.told == Some(clients) {
             return;
         }
-        let message = u32::try_from(clients).unwrap_or(u32::MAX).to_be_bytes();
         let mut all = self.older.iter_mut().chain(&mut self.newer);
         // One that does not take it now is told the next time; one that has ended shows by itself.
-        if all.all(|sibling| sibling.stream.write(&message).is_ok()) {
+        if all.all(|sibling| sibling.send(COUNT, clients, &[], None)) {
             self.told = Some(clients);
         }
     }
 
+    /// Hands a client's connection to the newer process; `false`: it is still here.
+    pub fn hand(&mut self, stream: &mio::net::TcpStream, unused: &[u8]) -> bool {
+        self.newer.as_mut().is_some_and(|newer| newer.send(CONNECTION, unused.len(), unused, Some(stream)))
+    }
+
     /// Leaves nothing behind where the next process would look.
     pub fn end(&mut self, net: &mut Net) {
-        self.ready(PLACE, net); // one that came at the last moment has put its own there
+        self.ready(PLACE, net, &mut Vec::new()); // one that came at the last moment has put its own there
         if self.place.take().is_some() {
             let _ = std::fs::remove_file(&self.path); // a stale one would be replaced
         }
--- a/src/server/leave.rs
+++ b/src/server/leave.rs
@@ -1,10 +1,11 @@
 //! The end: after the signal to stop, alone or with a newer process that takes over.
 
+use super::handover::Handed;
 use super::{Due, Server};
 use crate::deadlines::Schedule;
 use crate::interface::Micros;
 use crate::net::{Ready, Role};
-use log::info;
+use log::{info, warn};
 
 /// After the signal to stop, new requests may come for 0.6 s: all of them are answered, us.
 const STOP_AFTER: Micros = 800_000;
@@ -12,9 +13,13 @@
 const STOP_AT_LAST: Micros = 30_000_000;
 /// How often the end is looked for then, us.
 const STOP_LOOK: Micros = 20_000;
-/// With a newer process, a connection that does not fall idle is waited for so long, us: the end comes by force 3.7 s
-/// after the signal.
-const LEAVE_AT_LAST: Micros = 3_300_000;
+/// With a newer process, the end comes by force after the longest deadline, counted as this where it is longer, us...
+const LONGEST: Micros = 3_000_000;
+/// ... and so much more; what is open gets its answer a little before that, us.
+const BEFORE_FORCE: Micros = 700_000 - 300_000;
+/// Each time this has passed, us, one request more may be open on a connection on which reading stops, so that it can
+/// be handed on: the fewer there are, the less do requests wait there for the last answer.
+const PAUSE_STEP: Micros = 400_000;
 
 impl Server {
     /// The signal to stop has come.
@@ -48,12 +53,27 @@
         self.due.add(self.now, Due::Stop);
     }
 
-    fn is_leaving(&self) -> bool {
+    pub(super) fn is_leaving(&self) -> bool {
         self.stopping.is_some() && self.listener.is_none()
     }
 
-    /// Ends the connections that have fallen idle, once all that was ready has been read.
+    /// Hands on the connections on which nothing is open, once all that was ready has been done; with nobody to take
+    /// them, they end.
     pub(super) fn fade(&mut self) {
+        if !self.is_leaving() {
+            return;
+        }
+        if self.handover.has_newer() {
+            let begun = self.stopping.unwrap_or(self.now);
+            let most = ((self.now - begun) / PAUSE_STEP) as usize;
+            for conn in self.thrift.to_hand_on(most, &self.net) {
+                let handover = &mut self.handover;
+                if self.net.hand_on(self.now, conn, |stream, unused| handover.hand(stream, unused)) {
+                    self.thrift.handed_on(conn, &mut self.due);
+                }
+            }
+            return;
+        }
         while let Some(conn) = self.thrift.fading(&mut self.net) {
             // What has come meanwhile is still answered.
             self.on_ready(Ready::Conn { key: conn, read: true, write: false });
@@ -62,14 +82,32 @@
         }
     }
 
+    /// Takes in a connection that the older process has handed on.
+    pub(super) fn adopt(&mut self, (stream, unused): Handed) {
+        match self.net.adopt(self.now, stream, Role::Thrift, &unused) {
+            Ok(conn) => {
+                self.thrift.adopt(self.now, conn, &mut self.due);
+                // What was read there already brings no event.
+                self.on_ready(Ready::Conn { key: conn, read: true, write: false });
+                self.pump();
+            }
+            Err(error) => warn!("a connection that was handed on: {error}"),
+        }
+    }
+
     pub(super) fn look_for_end(&mut self) {
         let begun = self.stopping.unwrap_or(self.now);
         let links = self.links.as_ref().map(|links| &links.front);
         let flushed =
             self.thrift.is_flushed(&self.net) && links.is_none_or(|links| links.is_flushed(&self.net));
+        let longest = self.names.deadlines.iter().copied().max().unwrap_or(0).min(LONGEST);
+        let force = begun + longest + BEFORE_FORCE;
+        if self.is_leaving() && force <= self.now {
+            self.core.expire(self.now, &mut self.due);
+        }
         let answered = self.core.unanswered() == 0 && flushed;
         // A client that was told the end closes by itself; with its bytes unread it would be reset from here.
-        let left = !self.is_leaving() || self.clients() == 0 || begun + LEAVE_AT_LAST <= self.now;
+        let left = !self.is_leaving() || self.clients() == 0 || force + STOP_LOOK < self.now;
         if (answered && left) || begun + STOP_AT_LAST <= self.now {
             self.stopped = true;
         } else {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -299,9 +299,15 @@
         match ready {
             Ready::Source(ADMIN) => self.accept_callers(),
             Ready::Source(number @ (PLACE | OLDER | NEWER)) => {
-                if self.handover.ready(number, &mut self.net) {
+                let mut handed = Vec::new();
+                let others = self.handover.ready(number, &mut self.net, &mut handed);
+                handed.into_iter().for_each(|handed| self.adopt(handed));
+                if others {
                     self.share();
                 }
+                if others && self.is_leaving() && !self.handover.has_newer() {
+                    self.thrift.resume();
+                }
             }
             Ready::Source(LISTENER | LINKS) => self.accept(),
             Ready::Source(_) => {
