Give a begun message its time after the answers, and refuse slow readers first

Tests: messages and heads byte by byte, the time of a begun message (fails without the change), the budget's steps, the second front: cut heads, SIGHUP with other classes, an upgrade.

--- a/src/front/signed/http.rs
+++ b/src/front/signed/http.rs
@@ -151,6 +151,9 @@
             ("GET /a HTTP/1.1\r\nHo", "partial"),
         ];
         for (text, wanted) in cases {
+            for cut in (0..text.len()).filter(|_| !wanted.contains("head")) {
+                assert_eq!(read(&text[..cut]), Ok(None), "{text:?} cut at {cut}");
+            }
             let got = match read(text) {
                 Ok(None) => "partial".into(),
                 Err(bad) => format!("{bad:?}"),
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -387,6 +387,10 @@
             (session.wrote, session.moved) = (wrote, now);
         }
         let quiet = session.open.is_empty() && !unwritten && !session.more;
+        if !quiet {
+            // Its answers come first: what it has begun meanwhile may have waited for us.
+            session.begun = session.begun.map(|_| now);
+        }
         if session.lingers.is_some_and(|since| since + LINGER <= now) {
             self.close(now, conn, Reason::Done, net, due)
         } else if session.moved + STALLED <= now {
@@ -467,3 +471,6 @@
     gone.sort_unstable();
     gone.into_iter().map(Ask::Gone).collect()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/front/thrift/tests.rs
@@ -0,0 +1,88 @@
+//! Messages that come in pieces, and the times of a connection.
+
+use super::*;
+use crate::deadlines::Deadlines;
+use crate::net::Role;
+use std::io::Write;
+use std::net::TcpStream;
+
+const PING: &[u8] = b"\0\0\0\x11\x80\x01\0\x01\0\0\0\x04ping\0\0\0\x09\0";
+
+/// A call of `invoke` under this number, without fields that matter here.
+fn invoke(seqid: u8) -> Vec<u8> {
+    let head =
+        [b"\x80\x01\0\x01\0\0\0\x06invoke\0\0\0", &[seqid][..], b"\x0d\0\x01\x0b\x0b\0\0\0\0\0"].concat();
+    [&(head.len() as u32).to_be_bytes()[..], &head].concat()
+}
+
+struct Bench {
+    front: Front,
+    net: Net,
+    due: Deadlines<Due>,
+    client: TcpStream,
+    conn: ConnKey,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut net = Net::new().expect("a poll");
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let client = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+        let conn = net.adopt(0, listener.accept().expect("one").0, Role::Thrift, b"").expect("taken");
+        let (mut front, mut due) = (Front::default(), Deadlines::default());
+        front.open(0, conn, &mut due);
+        Bench { front, net, due, client, conn }
+    }
+
+    /// What is asked once these bytes have come.
+    fn send(&mut self, now: i64, bytes: &[u8]) -> Vec<Ask> {
+        self.client.write_all(bytes).expect("written");
+        let had = |net: &mut Net, conn| net.input(conn, |input| input.len()).unwrap_or(0);
+        let before = had(&mut self.net, self.conn);
+        loop {
+            let asks = self.front.ready(now, self.conn, &mut self.net, &mut self.due);
+            if !asks.is_empty() || had(&mut self.net, self.conn) != before {
+                return asks;
+            }
+        }
+    }
+
+    /// Lets the looks up to a time fall; whether the connection is still open.
+    fn pass(&mut self, until: i64) -> bool {
+        while let Some(at) = self.due.next().filter(|at| *at <= until) {
+            while let Some(what) = self.due.pop(at) {
+                self.front.due(at, what, &mut self.net, &mut self.due);
+            }
+        }
+        self.front.sessions.get(&self.conn).is_some_and(|session| session.lingers.is_none())
+    }
+}
+
+#[test]
+fn a_message_is_read_however_it_is_cut() {
+    let mut bench = Bench::new();
+    for message in [PING, &invoke(1)] {
+        for (i, byte) in message.iter().enumerate() {
+            let asks = bench.send(0, &[*byte]);
+            assert_eq!(asks.len(), usize::from(i + 1 == message.len()), "byte {i}");
+        }
+    }
+}
+
+/// A client that reads its answers slowly sends the rest of its next message when it comes to it.
+#[test]
+fn a_message_that_began_while_answers_were_open_has_its_whole_time_after_them() {
+    for open in [true, false] {
+        let mut bench = Bench::new();
+        let first = if open { invoke(1) } else { PING.to_vec() };
+        assert_eq!(bench.send(0, &first).len(), 1);
+        bench.send(0, &PING[..5]);
+        assert_eq!(bench.pass(WHOLE + LOOK), open, "with a request open: {open}");
+        if open {
+            let (conn, now) = (bench.conn, WHOLE + LOOK);
+            bench.front.answer(now, conn, 1, Reply::Failed, &mut bench.net, &mut bench.due);
+            assert!(bench.pass(now + WHOLE - 2 * LOOK), "its time begins with the answer");
+            assert!(!bench.pass(now + WHOLE + LOOK), "and ends");
+        }
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -556,16 +556,16 @@
     }
 
     /// Whether there is no room for another request: refused now, it does no harm.
-    fn is_full(&self) -> bool {
+    fn is_full(&self, conn: ConnKey) -> bool {
         let held = self.net.held() + self.core.held() + self.bodies;
-        held > self.budget.requests || self.waiting.len() >= self.names.most_held
+        self.budget.is_full(held, self.net.unwritten(conn)) || self.waiting.len() >= self.names.most_held
     }
 
     /// Hands in a request of the second front, which has checked its right.
     fn get(&mut self, ask: signed::Ask) {
         let signed::Ask::Get { conn, number, place, tags, expires } = ask;
         let Place { route, object, group, part } = place;
-        let (full, now) = (self.is_full(), self.now);
+        let (full, now) = (self.is_full(conn), self.now);
         let Some(links) = self.links.as_mut().filter(|links| links.front.is_open(conn, number)) else {
             return;
         };
@@ -638,7 +638,7 @@
                 class.into_iter().for_each(|class| self.core.count(class, &Final::Failed { late: false }));
                 Err(Reply::Exception { name: "invoke".into(), kind: 7, text })
             }
-            Ok(_) if self.is_full() => Err(self.refuse(class)),
+            Ok(_) if self.is_full(conn) => Err(self.refuse(class)),
             Ok(form) => Ok(form),
         };
         let form = match refused {
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -14,9 +14,13 @@
 /// Usual clients hold up to a third. This part of the rest is for more that connect: so many may say nothing before
 /// one has to go for the next.
 const NEWCOMERS: usize = 4;
-/// Parts of the memory limit: above the first new requests are refused, above the second no answer is kept.
+/// Parts of the memory limit: above the first, new requests are refused where answers wait for a client that takes them
+/// slowly, above the second everywhere, above the third no answer is kept. So slow readers do not fill it for others.
 const FULL: f64 = 0.25;
+const FULL_FOR_ALL: f64 = 0.32;
 const NO_ROOM: f64 = 0.4;
+/// Bytes of answers that wait for a client from which on it is slow: the longest answer.
+const SLOW: usize = 240_000;
 
 /// What the limits leave for whom.
 pub(super) struct Budget {
@@ -24,8 +28,8 @@
     pub clients: usize,
     /// Connections to servers.
     pub servers: usize,
-    /// Bytes in all above which new requests are refused.
-    pub requests: usize,
+    /// Bytes in all above which new requests of slow clients are refused, and those of all.
+    requests: [usize; 2],
     /// Bytes in all above which no answer is kept.
     pub answers: usize,
 }
@@ -39,7 +43,13 @@
         let usual = limits.sockets.div_ceil(3).min(sockets / 2 + 1);
         let clients = usual + (sockets - usual) / NEWCOMERS;
         let servers = sockets.saturating_sub(clients) / processes;
-        Budget { clients, servers, requests: (memory * FULL) as usize, answers: (memory * NO_ROOM) as usize }
+        let requests = [FULL, FULL_FOR_ALL].map(|part| (memory * part) as usize);
+        Budget { clients, servers, requests, answers: (memory * NO_ROOM) as usize }
+    }
+
+    /// Whether a new request is refused, with so many bytes held in all and so many that wait for its client.
+    pub fn is_full(&self, held: usize, waiting: usize) -> bool {
+        held > self.requests[usize::from(waiting < SLOW)]
     }
 
     /// What connections to servers go by.
@@ -123,6 +133,22 @@
 mod tests {
     use super::*;
 
+    /// Clients that take their answers slowly would else have all others refused.
+    #[test]
+    fn what_slow_readers_hold_is_refused_to_them_first() {
+        let budget = Budget::of(&Limits { memory_mb: 48, sockets: 384 }, 1);
+        for (held, slow, others) in
+            [(11_000_000, false, false), (13_000_000, true, false), (16_000_000, true, true)]
+        {
+            assert_eq!(
+                (budget.is_full(held, SLOW), budget.is_full(held, SLOW - 1)),
+                (slow, others),
+                "{held}"
+            );
+        }
+        assert!(budget.requests[1] < budget.answers, "what is taken in can be answered");
+    }
+
     /// Two processes count as one edge proxy.
     #[test]
     fn what_two_processes_may_hold_together_is_what_one_may() {
@@ -133,7 +159,7 @@
             // Clients' connections are counted together.
             assert!(two.clients + 2 * (two.servers + OTHER_SOCKETS) <= sockets, "{sockets}");
             assert!(two.clients >= sockets.div_ceil(3), "usual clients hold up to a third");
-            assert!(2 * two.answers <= one.answers && 2 * two.requests <= one.requests);
+            assert!(2 * two.answers <= one.answers && 2 * two.requests[1] <= one.requests[1]);
         }
     }
 }
--- a/tests/sockets/links.rs
+++ b/tests/sockets/links.rs
@@ -376,3 +376,77 @@
     assert_eq!(old.answer().body, b"old");
     drop(flood);
 }
+
+#[test]
+fn a_link_is_read_however_its_head_is_cut() {
+    let site = site("cut-head");
+    let path = site.replay(3, now() + 60);
+    let mut client = site.client();
+    client.0.set_nodelay(true).expect("no delay");
+    let text = format!("GET {path} HTTP/1.1\r\nHost: replays.example.org\r\n\r\n");
+    text.bytes().for_each(|byte| client.0.write_all(&[byte]).expect("written"));
+    site.cache.next().answer("200", "ver=a", b"x");
+    assert_eq!(client.answer().status, 200);
+    client.0.write_all(&text.as_bytes()[..text.len() / 2]).expect("written");
+    client.0.shutdown(std::net::Shutdown::Write).expect("an end");
+    assert_eq!(client.rest(), b"", "half a head and an end gets nothing");
+}
+
+#[test]
+fn sighup_gives_the_routes_the_new_classes() {
+    let site = site("link-classes");
+    let path = site.replay(3, now() + 60);
+    let mut client = site.client();
+    client.get(&path);
+    let mut open = site.cache.next();
+    let without = |text: &str| text.replace("\"name\": \"replay\"", "\"name\": \"table\"");
+    site.proxy.rewrite(without);
+    site.proxy.signal("-HUP");
+    site.proxy.logged("class \"replay\" is unknown or never kept; the old configuration stays");
+    std::fs::write(&site.file, OPERATOR.replace("class = \"replay\"", "class = \"table\"")).expect("a file");
+    site.proxy.signal("-HUP");
+    site.proxy.logged("reloaded: ");
+    open.answer("200", "ver=a", b"old");
+    assert_eq!(client.answer().body, b"old");
+    client.get(&path);
+    let mut got = site.cache.next();
+    assert_eq!(got.field("cls"), Some("table"));
+    got.answer("200", "ver=a", b"new");
+    assert_eq!(client.answer().body, b"new");
+}
+
+#[test]
+fn an_upgrade_answers_the_links_that_are_open_and_leaves_the_next_to_the_newer_process() {
+    let mut site = site("link-upgrade");
+    let path = site.replay(3, now() + 60);
+    let (mut idle, mut busy) = (site.client(), site.client());
+    idle.get(&path);
+    site.cache.next().answer("200", "ver=a", b"x");
+    assert_eq!(idle.answer().status, 200);
+    busy.get(&path);
+    let mut open = site.cache.next();
+    let operator = OPERATOR.replace("127.0.0.1:0", &site.addr.to_string());
+    std::fs::write(&site.file, operator).expect("a file");
+    let new = site.proxy.newer(&["--signed", site.file.to_str().expect("a path")]);
+    new.logged("links are served on ");
+    site.proxy.logged("a newer process takes over");
+    site.proxy.signal("-TERM");
+    site.proxy.logged("clients are left to the newer process");
+    assert_eq!(idle.rest(), b"", "it ends between requests");
+    open.answer("200", "ver=a", b"open");
+    let last = busy.answer();
+    assert_eq!((last.status, &last.body[..]), (200, &b"open"[..]));
+    assert_eq!((field(&last.head, "Connection"), busy.rest()), (Some("close"), Vec::new()));
+    assert!(site.proxy.child.wait().expect("an end").success());
+    let mut next = site.client();
+    next.get(&path);
+    site.cache.next().answer("200", "ver=a", b"new");
+    assert_eq!(next.answer().body, b"new");
+    // With nobody to take over, what is open at SIGTERM is answered, too.
+    next.get(&path);
+    let mut open = site.cache.next();
+    new.signal("-TERM");
+    new.logged("stopping");
+    open.answer("200", "ver=a", b"last");
+    assert_eq!(next.answer().body, b"last");
+}
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -341,7 +341,7 @@
     };
     until(served(b"x"));
     let frame = invoke(1, &[("route", "result")], &[1; 60_000]);
-    let unfinished = [(); 5].map(|()| {
+    let unfinished = [(); 6].map(|()| {
         let mut other = Client::new(&proxy);
         other.send(&frame[..frame.len() - 1]);
         other
