Limit own fetches by the origin's first byte, and let misses beyond the limit wait a little

At fault: learn() lowered the shares of fetches and fills only when fills failed, so a slow origin was asked for ever more (3.5 times as many out). Ruled out: keeping the shares beside the limit (no gain).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub u16);
 /// A zone (a location or a hub), by its place in the settings' lists.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u16);
 
 /// Everything that a router is told at its start.
@@ -257,7 +257,7 @@
 }
 
 /// One server of the list.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Member {
     /// The server.
     pub server: ServerId,
@@ -276,9 +276,10 @@
 }
 
 /// What a listed server may be used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
     /// Takes work.
+    #[default]
     Ready,
     /// Finishes what it has.
     Draining,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,16 +76,21 @@
 const LATE_STAY: f64 = 1.2;
 /// The first of an object's two parents is left for the second while its wait is this many times as long.
 const FAR_BETTER: f64 = 2.0;
-/// How fast the part of requests that may be filled falls while fills fail and recovers with answers, in its
-/// logarithm a second; how long one speaks for at most, us (few count as much as many); the least part.
-const FILL_LESS: [f64; 2] = [3.0, 6.0]; // the second where answers are mute: failures are told late
-const FILL_MORE: f64 = 0.75;
-const FILL_SPEAKS: Micros = SECOND / 5;
-const FILL_LEAST: f64 = 0.1;
+/// Own fetches that may be out: at first, at least, at most. More only wait for each other at the origin.
+const FETCHES: [f64; 3] = [32.0, 2.0, 64.0];
+/// A fetch is slow whose first byte takes this part of its class's target: it is likely late.
+const FETCH_SLOW: f64 = 0.8;
+/// How fast that number falls with slow or failed fetches, and rises with others while it binds, in its
+/// logarithm a second; how long one speaks for at most, us: few count as much as many.
+const FETCH_STEP: [f64; 2] = [2.0, 1.0];
+const FETCH_SPEAKS: Micros = SECOND / 5;
+/// Part of its target that a request waits at most for others' fetches to end.
+const FETCH_WAIT: f64 = 0.5;
 /// Wait advised to a refused client, as a part of its class's target.
 const ADVICE: f64 = 0.5;
 
 /// A server of the list, with what this router has seen of it.
+#[derive(Default)]
 struct Server {
     member: Member,
     out: u32,
@@ -118,6 +123,8 @@
     delegate: bool,
     /// Asks only for what the cache or its source holds: fills are held back.
     held: bool,
+    /// For want of a fetch alone: after a miss its request waits for one.
+    waits: bool,
     open: bool,
     /// Called off or doubled because it was overdue.
     rescued: bool,
@@ -178,8 +185,6 @@
     caches: Vec<ServerId>,
     parents: Vec<ServerId>,
     origin: Option<ServerId>,
-    /// How many of the ready parents stand at the own hub.
-    hub_parents: usize,
     open: BTreeMap<RequestId, Open>,
     directory: BTreeMap<Key, Popular>,
     threshold: u32,
@@ -191,11 +196,11 @@
     /// When what was purged last.
     purged: BTreeMap<Purge, Micros>,
     retries: f64,
-    /// Part of the requests that a parent may fetch for from the origin; the rest are served what is held.
-    fetch_share: f64,
-    /// Part of the requests that may be filled at all; the rest are served what the cache holds.
-    fill_share: f64,
-    share_at: Micros,
+    /// Own fetches out, how many may be, when that changed, and the requests that wait for one to end.
+    fetches: usize,
+    fetches_most: f64,
+    fetched_at: Micros,
+    waiting: Vec<RequestId>,
 }
 
 impl Router {
@@ -209,7 +214,6 @@
             caches: Vec::new(),
             parents: Vec::new(),
             origin: None,
-            hub_parents: 0,
             open: BTreeMap::new(),
             directory: BTreeMap::new(),
             threshold: POPULAR_LEAST,
@@ -219,9 +223,10 @@
             mean: settings.classes.iter().map(untried).collect(),
             purged: BTreeMap::new(),
             retries: RETRY_MOST,
-            fetch_share: 1.0,
-            fill_share: 1.0,
-            share_at: now,
+            fetches: 0,
+            fetches_most: FETCHES[0],
+            fetched_at: now,
+            waiting: Vec::new(),
             settings,
         })
     }
@@ -256,6 +261,11 @@
                 *newest = (now - age).max(*newest);
             }
         }
+        // Of those that wait the newest has the most time left.
+        while self.has_fetch() {
+            let Some(id) = self.waiting.pop() else { break };
+            self.place(now, id, out);
+        }
         if !self.ticking && !self.open.is_empty() {
             self.ticking = true;
             out.push(Action::Timer { token: 0, after: TICK });
@@ -294,25 +304,23 @@
         }
         let first = open.attempts.is_empty();
         let never_kept = self.class(request).never_kept || request.write;
-        let delegate = if first && !never_kept { self.delegate(now, open, &order, dice) } else { None };
+        let helper = if first && !never_kept { self.delegate(now, open, &order, dice) } else { None };
         let blame = |s: &ServerId| open.attempts.iter().filter(|a| a.server == *s && a.blamed).count();
         let home = order.iter().copied().filter(|s| self.usable(now, *s, open)).min_by_key(blame);
         let home = home.filter(|s| !self.crowded(now, *s, open));
         // A parent is asked past the caches where that is allowed and no cache is ready.
         let past = self.source(now, open).filter(|_| self.settings.direct && self.caches.is_empty());
         let past = past.filter(|s| !self.crowded(now, *s, open) && self.may_send(now, open, *s));
-        let Some(server) = delegate.or(home).or(past) else { return self.give_up(now, id, out) };
-        let chance = (dice >> 40) as f64 / (1u64 << 24) as f64;
-        let fill = never_kept || !first || chance < self.fill_share;
-        let source = match (delegate, order.first()) {
+        let Some(server) = helper.or(home).or(past) else { return self.give_up(now, id, out) };
+        let source = match (helper, order.first()) {
             (Some(_), Some(home)) => Some(*home),
-            _ if fill && self.is_cache(server) => self.source(now, open),
+            _ if self.is_cache(server) => self.source(now, open),
             _ => None,
         };
         let parent = source.is_some_and(|s| self.parents.contains(&s));
         let behind = open.attempts.iter().any(|a| a.behind);
-        let held_back = first && chance >= self.fill_share * self.fetch_share;
-        let only_held = parent && !never_kept && (behind || held_back);
+        let full = first && !never_kept && !self.has_fetch();
+        let only_held = parent && !never_kept && (behind || full);
         let counted = self.directory.get(&object).map_or(0, |entry| entry.count);
         let get = Get {
             request: id,
@@ -327,10 +335,11 @@
             renew: self.class(request).fresh > 0,
         };
         let work = self.mean[usize::from(request.class.0)].0 / SECOND as f64;
-        let (held, delegated) = (only_held || source.is_none(), delegate.is_some());
-        let (source, open) = (get.source, true);
+        let (held, delegate) = (only_held || source.is_none(), helper.is_some());
+        let (source, waits, open) = (get.source, only_held && !behind, true);
+        self.fetches += usize::from(!held && !delegate);
         let attempt =
-            Attempt { server, source, sent: now, delegate: delegated, held, open, ..Attempt::default() };
+            Attempt { server, source, sent: now, delegate, held, waits, open, ..Attempt::default() };
         self.open.entry(id).and_modify(|open| open.attempts.push(attempt));
         for booked in BTreeSet::from([server, source]) {
             self.servers.entry(booked).and_modify(|s| s.sends.push_back((now, work)));
@@ -344,7 +353,7 @@
             to.heard = if to.out == 0 { now } else { to.heard };
             to.out += 1;
         }
-        if let Some(entry) = self.directory.get_mut(&object).filter(|_| delegated) {
+        if let Some(entry) = self.directory.get_mut(&object).filter(|_| delegate) {
             match entry.delegates.iter_mut().find(|d| d.server == server) {
                 Some(known) => known.distributed += 1,
                 None => entry.rest_until = now + TRIAL_EVERY, // one is started at a time
@@ -420,7 +429,7 @@
         let class = self.class(&open.request);
         let fresh = match class.fresh {
             0 => 0,
-            fresh if open.attempts.is_empty() && self.fetch_share.min(self.fill_share) >= 1.0 => fresh,
+            fresh if open.attempts.is_empty() && self.has_fetch() => fresh,
             fresh => fresh + class.grace,
         };
         let object = self.purged.get(&Purge::Object(open.request.object));
@@ -509,6 +518,7 @@
             server.look(now, memory);
             server.out = server.out.saturating_sub(1);
         }
+        self.fetches -= usize::from(!attempt.held && !attempt.delegate);
         self.learn(now, &o, &request, &attempt);
         if attempt.delegate {
             self.settle_delegate(now, &request, &attempt, o.result == AttemptResult::Ok);
@@ -527,6 +537,9 @@
         if open.attempts.iter().any(|a| a.open) {
             return; // its double may still answer
         }
+        if o.result == AttemptResult::Miss && attempt.waits && self.may_wait(now, open) {
+            return self.waiting.push(o.request);
+        }
         let hopeless = open.attempts.iter().filter(|a| a.erred).count() >= ERRORS_MOST;
         if hopeless || (o.result == AttemptResult::Miss && attempt.held) {
             return self.give_up(now, o.request, out);
@@ -574,25 +587,17 @@
         let late = ((o.elapsed as f64 + slack) / (solo + slack)).ln();
         let mute = self.settings.notes == Notes::None;
         let filling = !attempt.delegate && attempt.source != attempt.server;
-        if filling {
-            let error = o.result == Error && (mute || !attempt.erred);
-            let failed =
-                matches!(o.result, Full | Timeout) || error || (o.result == Cancelled && attempt.rescued);
-            // What is behind the parent may fail while the parent and the link still give what is held.
-            let behind = !attempt.held && (mute || o.note == Some(Note::OriginFailed));
-            let spoken = (now - self.share_at).min(FILL_SPEAKS) as f64 / SECOND as f64;
-            self.share_at = now;
-            // Where notes tell, one that ends without may be late for its source's sake, one among several.
-            let unsure = !mute && matches!(o.result, Timeout | Cancelled);
-            let several = if unsure { self.hub_parents.max(1) as f64 } else { 1.0 };
-            let less = FILL_LESS[usize::from(mute)] / several;
-            let step = (spoken * if failed { -less } else { FILL_MORE }).exp();
-            if behind || !failed {
-                self.fetch_share = (self.fetch_share * step).clamp(FILL_LEAST, 1.0);
-            }
-            if !(behind && failed) {
-                self.fill_share = (self.fill_share * step).clamp(FILL_LEAST, 1.0);
+        if filling && !attempt.held {
+            let lost = matches!(o.result, Full | Timeout) || (o.result == Cancelled && attempt.rescued);
+            let far = o.note == Some(Note::FilledByOrigin);
+            let late = far && o.waited as f64 > FETCH_SLOW * self.class(request).target as f64;
+            let slow = lost || late || (o.result == Error && (mute || !attempt.erred));
+            if slow || (far && self.fetches as f64 + 2.0 > self.fetches_most) {
+                let spoken = (now - self.fetched_at).min(FETCH_SPEAKS) as f64 / SECOND as f64;
+                let step = (spoken * if slow { -FETCH_STEP[0] } else { FETCH_STEP[1] }).exp();
+                self.fetches_most = (self.fetches_most * step).clamp(FETCHES[1], FETCHES[2]);
             }
+            self.fetched_at = now;
         }
         let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
         // What is never kept is always filled: its own time is what its source did not take.
@@ -666,7 +671,10 @@
                 }
             }
         }
-        for id in expired {
+        let waiting = std::mem::take(&mut self.waiting).into_iter().filter(|id| self.open.contains_key(id));
+        let (waiting, late) = waiting.partition(|id| self.may_wait(now, &self.open[id]));
+        self.waiting = waiting;
+        for id in expired.into_iter().chain::<Vec<_>>(late) {
             self.give_up(now, id, out);
         }
         // A source is silent by what it was to fill at several caches; what waits there is no cache's fault.
@@ -715,6 +723,17 @@
         }
     }
 
+    /// Whether one more fetch may go out.
+    fn has_fetch(&self) -> bool {
+        self.fetches < self.fetches_most as usize
+    }
+
+    /// Whether a request may wait for a fetch: until well before its time, which a tick may miss by a little.
+    fn may_wait(&self, now: Micros, open: &Open) -> bool {
+        let wait = (FETCH_WAIT * self.class(&open.request).target as f64) as Micros;
+        now < open.arrived + wait.min(open.request.patience - 2 * TICK)
+    }
+
     /// Lateness of the middle cache of the own location.
     fn middle_late(&self) -> f64 {
         let mut late: Vec<f64> = self.caches.iter().map(|s| self.servers[s].late).collect();
@@ -875,7 +894,6 @@
         let origin = |s: &Server| s.member.kind == self.settings.origin_kind;
         (self.caches, self.parents, self.origin) =
             (listed(&own), listed(&|s| self.is_parent(s)), listed(&origin).first().copied());
-        self.hub_parents = self.parents.iter().filter(|s| self.at_hub(&self.servers[s])).count();
         for entry in self.directory.values_mut() {
             entry.delegates.retain(|d| self.caches.contains(&d.server));
         }
@@ -895,18 +913,12 @@
         let mut counts: Vec<u32> = self.directory.values().map(|entry| entry.count).collect();
         counts.sort_unstable_by(|a, b| b.cmp(a));
         self.threshold = counts.get(counts.len() / POPULAR_PART).copied().unwrap_or(0).max(POPULAR_LEAST);
-        for entry in self.directory.values_mut() {
-            entry.delegates.retain(|d| d.until > now);
-        }
+        self.directory.values_mut().for_each(|entry| entry.delegates.retain(|d| d.until > now));
         let kept = 2 * self.settings.rules.purge_settles;
         self.purged.retain(|_, at| *at + kept > now);
         self.servers.retain(|_, s| s.member.state != ServerState::Gone || s.out > 0);
         let since = now - self.settings.rules.fall_span;
-        for server in self.servers.values_mut() {
-            while server.sends.front().is_some_and(|(at, _)| *at <= since) {
-                server.sends.pop_front();
-            }
-        }
+        self.servers.values_mut().for_each(|server| server.sends.retain(|(at, _)| *at > since));
     }
 
     fn is_parent(&self, server: &Server) -> bool {
@@ -946,23 +958,7 @@
 impl Server {
     fn new(member: Member, now: Micros) -> Self {
         let (usual_at, filled, heard, shut_until, broke) = (now, now, now, now, now - 1);
-        let (out, usual, late, failing, first_byte) = (0, 0.0, 0.0, 0.0, None);
-        let (shut, sends) = (false, VecDeque::new());
-        Server {
-            member,
-            out,
-            usual,
-            usual_at,
-            late,
-            failing,
-            broke,
-            first_byte,
-            filled,
-            heard,
-            shut_until,
-            shut,
-            sends,
-        }
+        Server { member, usual_at, filled, heard, shut_until, broke, ..Server::default() }
     }
 
     /// Own attempts out by now, smoothed over `memory`.
