Second front: signed URL prefixes, checked and issued

Closes a gap that the README named. The published form: URLPrefix in base64url before Expires, KeyName and Signature; the MAC covers the four alone; compared in normal form, so dot segments open nothing else; what is issued ends in a slash, or table 17 would open 170. Tests: a table of 13 cases, the published form's bytes computed apart from this program, one on sockets.

--- a/src/front/signed/gate.rs
+++ b/src/front/signed/gate.rs
@@ -13,6 +13,7 @@
 
 /// The parameter, or the cookie, that holds a token.
 pub const PACKAGE: &str = "URISigningPackage";
+const URL_PREFIX: &str = "URLPrefix";
 const EXPIRES: &str = "Expires";
 const KEY_NAME: &str = "KeyName";
 const SIGNATURE: &str = "Signature";
@@ -106,7 +107,8 @@
     ///
     /// It is not to be let in.
     pub fn check(&self, uri: &Uri, cookie: Option<&str>, now: i64) -> Result<i64, Denial> {
-        let signed = [EXPIRES, KEY_NAME, SIGNATURE].iter().any(|name| uri.parameter(name).is_some());
+        let signed =
+            [URL_PREFIX, EXPIRES, KEY_NAME, SIGNATURE].iter().any(|name| uri.parameter(name).is_some());
         let package = uri.parameter(PACKAGE);
         match (signed, package, cookie) {
             (false, None, None) => Err(Denial::Missing),
@@ -129,7 +131,19 @@
         let expires: i64 = expires.parse().ok().filter(|_| digits).ok_or(Denial::Forged("expires"))?;
         let key = self.keys.iter().find(|key| key.name == value(KEY_NAME)).ok_or(Denial::Forged("key"))?;
         let given = BASE64.decode(value(SIGNATURE)).map_err(|_| Denial::Forged("signature"))?;
-        let text = uri.without(SIGNATURE).to_string();
+        let text = match uri.parameter(URL_PREFIX) {
+            None => uri.without(SIGNATURE).to_string(),
+            Some(prefix) => {
+                // What stands before the prefix is not covered by the signature, and is no part of it.
+                if uri.query.iter().rev().nth(3).is_none_or(|known| known.name != URL_PREFIX) {
+                    return Err(Denial::Forged("parameters"));
+                }
+                if !opens(prefix, uri) {
+                    return Err(Denial::Forged("prefix"));
+                }
+                prefixed(prefix, value(EXPIRES), value(KEY_NAME))
+            }
+        };
         if !mac_fits(key, &text, &given) {
             return Err(Denial::Forged("signature"));
         }
@@ -238,6 +252,19 @@
         Ok(uri.with(SIGNATURE, &BASE64.encode(mac)).to_string())
     }
 
+    /// The parameters that open all URLs which begin so, until a Unix second: they are put behind any of them.
+    ///
+    /// # Errors
+    ///
+    /// No such key, or no beginning of a URL that ends in a slash.
+    pub fn sign_prefix(&self, key: &str, prefix: &str, expires: i64) -> Result<String, SignError> {
+        let uri = table(prefix)?;
+        let known = self.keys.iter().find(|known| known.name == key);
+        let text = prefixed(&BASE64.encode(uri.to_string()), &expires.to_string(), key);
+        let mac = known.and_then(|key| mac(key, &text)).ok_or_else(|| SignError::Key(key.to_owned()))?;
+        Ok(format!("{text}&{SIGNATURE}={}", BASE64.encode(mac)))
+    }
+
     /// Issues a token.
     ///
     /// # Errors
@@ -255,12 +282,7 @@
         let container = match &grant.binding {
             Binding::Object(url) => hash(&fresh(url)?.to_string()),
             Binding::Table(url) => {
-                let uri = fresh(url)?;
-                // Else a link for table 1 would open table 17.
-                if !uri.path.ends_with('/') || !uri.query.is_empty() {
-                    return Err(SignError::Uri("a table's URI ends in a slash"));
-                }
-                format!("regex:{}.*", regex::escape(&uri.to_string()))
+                format!("regex:{}.*", regex::escape(&table(url)?.to_string()))
             }
         };
         let mut claims = json!({ "cdniv": 1, "exp": grant.exp, "cdniuc": container });
@@ -275,10 +297,36 @@
     }
 }
 
+/// What a signature for a prefix covers.
+fn prefixed(prefix: &str, expires: &str, key: &str) -> String {
+    format!("{URL_PREFIX}={prefix}&{EXPIRES}={expires}&{KEY_NAME}={key}")
+}
+
+/// Whether a URI begins with a prefix in base64url, both in their normal form: a prefix names scheme, host and the
+/// beginning of a path.
+fn opens(prefix: &str, uri: &Uri) -> bool {
+    let prefix = BASE64.decode(prefix).ok().and_then(|bytes| String::from_utf8(bytes).ok());
+    let prefix = prefix.and_then(|text| Uri::whole(&text).ok()).filter(|prefix| prefix.query.is_empty());
+    prefix.is_some_and(|prefix| {
+        (&prefix.scheme, &prefix.host) == (&uri.scheme, &uri.host) && uri.path.starts_with(&prefix.path)
+    })
+}
+
+/// The beginning of all URIs of a table, in normal form.
+fn table(url: &str) -> Result<Uri, SignError> {
+    let uri = fresh(url)?;
+    // Else a link for table 1 would open table 17.
+    match uri.path.ends_with('/') && uri.query.is_empty() {
+        true => Ok(uri),
+        false => Err(SignError::Uri("a table's URI ends in a slash")),
+    }
+}
+
 /// A URL that holds no credential yet, in normal form.
 fn fresh(url: &str) -> Result<Uri, SignError> {
     let uri = Uri::whole(url).map_err(|Malformed(why)| SignError::Uri(why))?;
-    match [EXPIRES, KEY_NAME, SIGNATURE, PACKAGE].iter().any(|name| uri.parameter(name).is_some()) {
+    match [URL_PREFIX, EXPIRES, KEY_NAME, SIGNATURE, PACKAGE].iter().any(|name| uri.parameter(name).is_some())
+    {
         true => Err(SignError::Uri("it holds a credential")),
         false => Ok(uri),
     }
--- a/src/front/signed/gate/tests.rs
+++ b/src/front/signed/gate/tests.rs
@@ -75,6 +75,48 @@
     assert_eq!(check(&gate, &good, Some("x")), "Malformed(\"several credentials\")");
 }
 
+#[test]
+fn a_prefix_opens_what_begins_so_as_the_table_says() {
+    let mut gate = gate();
+    let of = |gate: &Gate, key: &str, seconds| {
+        gate.sign_prefix(key, "https://h.example/replays/17/", NOW + seconds).expect("signed")
+    };
+    let good = of(&gate, "u1", 60);
+    let other = good.replace("URLPrefix=", "URLPrefix=A");
+    let cases = [
+        (format!("https://h.example/replays/17/a?{good}"), "until 60"),
+        (format!("https://H.example:443/replays/x/../17/a/b?x=1&{good}"), "until 60"),
+        (format!("https://h.example/replays/17/a?{}", of(&gate, "u2", 60)), "until 60"),
+        (format!("https://h.example/replays/17/a?{}", of(&gate, "u1", 0)), "Expired"),
+        (format!("https://h.example/replays/18/a?{good}"), "Forged(\"prefix\")"),
+        (format!("https://h.example/replays/17/../18/a?{good}"), "Forged(\"prefix\")"),
+        (format!("https://h.example/replays/17?{good}"), "Forged(\"prefix\")"),
+        (format!("https://i.example/replays/17/a?{good}"), "Forged(\"prefix\")"),
+        (format!("https://h.example/replays/17/a?{other}"), "Forged(\"prefix\")"),
+        (format!("https://h.example/replays/17/a?{good}&x=1"), "Forged(\"parameters\")"),
+        (
+            format!("https://h.example/replays/17/a?{}", good.replace("&Exp", "&x=1&Exp")),
+            "Forged(\"parameters\")",
+        ),
+        (
+            format!("https://h.example/replays/17/a?{}", good.replace("Expires=17", "Expires=18")),
+            "Forged(\"signature\")",
+        ),
+        (format!("https://h.example/replays/17/a?{}", good.replace("=u1", "=u2")), "Forged(\"signature\")"),
+    ];
+    for (url, wanted) in cases {
+        assert_eq!(check(&gate, &url, None), wanted, "{url}");
+    }
+    // The published form signs the parameters alone: computed apart from this program.
+    gate.keys[0].checks = Secret((0..16).collect());
+    let text = gate.sign_prefix("u1", "https://replays.example.org/17/", NOW + 9).expect("signed");
+    let prefix = "aHR0cHM6Ly9yZXBsYXlzLmV4YW1wbGUub3JnLzE3Lw==";
+    let wanted =
+        format!("URLPrefix={prefix}&Expires=1700000009&KeyName=u1&Signature=t-7CWWPwVOIe4MEIj4eBsZOAwLM=");
+    assert_eq!(text, wanted);
+    assert!(gate.sign_prefix("u1", "https://h.example/replays/17", NOW).is_err(), "17 would open 170");
+}
+
 fn token(kid: Option<&str>, algorithm: Jose, secret: &str, claims: Value) -> String {
     let head = Header { kid: kid.map(str::to_owned), ..Header::new(algorithm) };
     let secret = format!("secret of the key {secret}");
--- a/src/main.rs
+++ b/src/main.rs
@@ -76,6 +76,13 @@
         /// The URL
         url: String,
     },
+    /// Issue the parameters URLPrefix, Expires, KeyName, Signature, to be put behind any URL that begins so
+    Prefix {
+        #[command(flatten)]
+        with: With,
+        /// What the URLs begin with, ending in a slash
+        prefix: String,
+    },
     /// Issue a token (RFC 9246) for the parameter or the cookie URISigningPackage
     Token {
         #[command(flatten)]
@@ -145,6 +152,9 @@
         Command::Sign(Sign::Url { with: With { signed, key, expires }, url }) => {
             print(&Gate::new(&Signed::read(&signed)?).sign_url(&key, &url, expires)?);
         }
+        Command::Sign(Sign::Prefix { with: With { signed, key, expires }, prefix }) => {
+            print(&Gate::new(&Signed::read(&signed)?).sign_prefix(&key, &prefix, expires)?);
+        }
         Command::Sign(Sign::Token { with, object, table, not_before, issuer }) => {
             let With { signed, key, expires } = with;
             let binding = match (object, table) {
--- a/tests/sockets/links.rs
+++ b/tests/sockets/links.rs
@@ -450,3 +450,20 @@
     open.answer("200", "ver=a", b"last");
     assert_eq!(next.answer().body, b"last");
 }
+
+#[test]
+fn a_prefix_that_was_issued_opens_a_table_and_no_other() {
+    let site = site("prefix");
+    let end = (now() + 60).to_string();
+    let table = "https://replays.example.org/replays/17/";
+    let signed = site.sign(&["prefix", "--key", "links", "--expires", &end, table]);
+    let mut client = site.client();
+    for part in [3, 4] {
+        client.get(&format!("/replays/17/{OBJECT}/{part}?{signed}"));
+        site.cache.next().answer("200", "ver=a", b"a game");
+        assert_eq!(client.answer().status, 200);
+    }
+    client.get(&format!("/replays/18/{OBJECT}/3?{signed}"));
+    assert_eq!(client.answer().status, 403);
+    assert_eq!(site.cache.rest(), Vec::<String>::new(), "no attempt for what it does not open");
+}
