--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,12 +77,12 @@
 /// The first of an object's two parents is left for the second while its wait is this many times as long.
 const FAR_BETTER: f64 = 2.0;
 /// Own fetches that may be out: at first, at least, at most. More only wait for each other at the origin.
-const FETCHES: [f64; 3] = [32.0, 2.0, 64.0];
+const FETCHES: [f64; 3] = [32.0, 2.0, 256.0];
 /// A fetch is slow whose first byte takes this part of its class's target: it is likely late.
 const FETCH_SLOW: f64 = 0.8;
-/// How fast that number falls with slow or failed fetches, and rises with others while it binds, in its
-/// logarithm a second; how long one speaks for at most, us: few count as much as many.
-const FETCH_STEP: [f64; 2] = [2.0, 1.0];
+/// How fast that number falls with slow or failed fetches, and rises with others up to the first or while it
+/// binds, in its logarithm a second; how long one speaks for at most, us: few count as much as many.
+const FETCH_STEP: [f64; 2] = [3.0, 1.0];
 const FETCH_SPEAKS: Micros = SECOND / 5;
 /// Part of its target that a request waits at most for others' fetches to end.
 const FETCH_WAIT: f64 = 0.5;
@@ -592,7 +592,8 @@
             let far = o.note == Some(Note::FilledByOrigin);
             let late = far && o.waited as f64 > FETCH_SLOW * self.class(request).target as f64;
             let slow = lost || late || (o.result == Error && (mute || !attempt.erred));
-            if slow || (far && self.fetches as f64 + 2.0 > self.fetches_most) {
+            let most = FETCHES[0].max(self.fetches as f64 + 2.0);
+            if slow || (far && self.fetches_most < most) {
                 let spoken = (now - self.fetched_at).min(FETCH_SPEAKS) as f64 / SECOND as f64;
                 let step = (spoken * if slow { -FETCH_STEP[0] } else { FETCH_STEP[1] }).exp();
                 self.fetches_most = (self.fetches_most * step).clamp(FETCHES[1], FETCHES[2]);
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -833,7 +833,7 @@
         at_once(&mut bench)
     };
     let (slow, quick) = (run(550 * MS), run(50 * MS));
-    assert!(2 * slow < first && slow < quick, "{first} at first, {slow} slow, {quick} quick");
+    assert!(2 * slow < first && quick >= first, "{first} at first, {slow} slow, {quick} quick");
 }
 
 #[test]
