--- a/tests/sockets/upgrade.rs
+++ b/tests/sockets/upgrade.rs
@@ -86,3 +86,22 @@
     next.signal("-TERM");
     new.logged("the newer process has ended");
 }
+
+#[test]
+fn one_that_leaves_and_loses_the_newer_process_still_answers_what_is_open() {
+    let (cache, _parent, mut old, _) = door("left-alone", str::to_owned);
+    let mut busy = Client::new(&old);
+    busy.send(&request(1, "result"));
+    let mut open = cache.next();
+    let new = old.newer(&["--admin", "127.0.0.1:0"]);
+    new.logged("operators are answered on ");
+    old.logged("a newer process takes over");
+    old.signal("-TERM");
+    old.logged("clients are left to the newer process");
+    drop(new);
+    old.logged("the newer process has ended");
+    open.answer("200", "ver=a", b"ran");
+    assert_eq!(busy.reply(), (1, served(b"ran")));
+    assert!(busy.is_closed(), "there is nobody to hand it to");
+    assert!(old.child.wait().expect("an end").success());
+}
