--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,10 +48,10 @@
 /// A server that fails outright gets one trial each time this has passed, us.
 const TRIAL_EVERY: Micros = SECOND;
 
-/// Weight of a new answer in a cache's smoothed part of errors; it is left with trials once that has risen to
-/// the first, and until it has fallen to the second.
+/// Weight of a new answer in a server's smoothed part of errors. A cache is left with trials once that is over the
+/// first, until under the second; above the third no write goes there or is filled there, if it need not.
 const FAILING_WEIGHT: f64 = 0.25;
-const FAILING: [f64; 2] = [0.4, 0.1];
+const FAILING: [f64; 3] = [0.4, 0.1, 0.02];
 
 /// A request that so many caches have answered with an error is itself at fault, as likely as not.
 const ERRORS_MOST: usize = 3;
@@ -305,7 +305,8 @@
         let first = open.attempts.is_empty();
         let never_kept = self.class(request).never_kept || request.write;
         let helper = if first && !never_kept { self.delegate(now, open, &order, dice) } else { None };
-        let blame = |s: &ServerId| open.attempts.iter().filter(|a| a.server == *s && a.blamed).count();
+        let blamed = |s: &ServerId| open.attempts.iter().filter(|a| a.server == *s && a.blamed).count();
+        let blame = |s: &ServerId| (blamed(s), !self.is_sure(&self.servers[s], open));
         let home = order.iter().copied().filter(|s| self.usable(now, *s, open)).min_by_key(blame);
         let home = home.filter(|s| !self.crowded(now, *s, open));
         // A parent is asked past the caches where that is allowed and no cache is ready.
@@ -402,7 +403,7 @@
         let (object, class) = (key(&open.request), open.request.class);
         let ended = |a: &Attempt| a.rescued || !(a.open || a.torn);
         let failed = |s: &Server| open.attempts.iter().any(|a| a.source == s.member.server && ended(a));
-        let good = |s: &&Server| (!s.shut || s.shut_until <= now) && !failed(s);
+        let good = |s: &&Server| (!s.shut || s.shut_until <= now) && !failed(s) && self.is_sure(s, open);
         let in_budget = self.parents.iter().filter(|s| !self.cold_full(now, **s, class));
         let parents: Vec<&Server> = in_budget.map(|s| &self.servers[s]).collect();
         let mut choice: Vec<&Server> = parents.iter().copied().filter(good).collect();
@@ -427,11 +428,8 @@
     /// The oldest copy that will do: fresh, or past it on a further attempt, and newer than any purge.
     fn max_age(&self, now: Micros, open: &Open) -> Micros {
         let class = self.class(&open.request);
-        let fresh = match class.fresh {
-            0 => 0,
-            fresh if open.attempts.is_empty() && self.has_fetch() => fresh,
-            fresh => fresh + class.grace,
-        };
+        let grace = if open.attempts.is_empty() && self.has_fetch() { 0 } else { class.grace };
+        let fresh = if class.fresh > 0 { class.fresh + grace } else { 0 };
         let object = self.purged.get(&Purge::Object(open.request.object));
         let group = self.purged.get(&Purge::Group(open.request.group));
         let Some(purged) = object.max(group) else { return fresh };
@@ -608,7 +606,7 @@
         }
         if let Some(to) = self.servers.get_mut(&attempt.server) {
             if o.result == Ok || (attempt.blamed && !matches!(o.result, Error | Reset)) {
-                to.failing -= FAILING_WEIGHT * to.failing;
+                smooth(&mut to.failing, FAILING_WEIGHT, 0.0);
             }
             match o.result {
                 Ok | Miss | Full => {
@@ -630,22 +628,24 @@
                 _ => {}
             }
             if o.result == Ok {
-                smooth(&mut to.late, late.min(LATE_MOST));
+                smooth(&mut to.late, SMOOTHING, late.min(LATE_MOST));
             }
         }
         if let Some(from) = self.servers.get_mut(&attempt.source).filter(|_| filling) {
             let source_failed = matches!(o.note, Some(Note::SourceLost | Note::SourceRefused));
             let time = if mute { (o.elapsed as f64 - solo).max(0.0) } else { o.waited as f64 };
             if filled || (mute && o.result == Ok) {
-                smooth(from.first_byte.get_or_insert(time), time);
+                smooth(from.first_byte.get_or_insert(time), SMOOTHING, time);
+                smooth(&mut from.failing, FAILING_WEIGHT, 0.0);
                 (from.filled, from.heard, from.shut) = (now, now, false);
             } else if matches!(o.result, Timeout | Cancelled) {
                 // Nothing came: that says more than an answer, and all of its time was waiting.
                 let time = o.elapsed as f64;
                 let known = from.first_byte.get_or_insert(time);
-                *known += LOST_WEIGHT * (time - *known).max(0.0);
+                smooth(known, LOST_WEIGHT, time.max(*known));
                 from.filled = now;
             } else if source_failed && matches!(o.result, Error | Full | Miss) {
+                smooth(&mut from.failing, FAILING_WEIGHT, 1.0);
                 (from.shut, from.shut_until) = (true, now + TRIAL_EVERY);
             }
         }
@@ -753,6 +753,11 @@
         trial && self.may_send(now, open, server) && !self.cold_full(now, server, open.request.class)
     }
 
+    /// Whether a request may be lost to a failure there that is to be expected: only one that must not run twice.
+    fn is_sure(&self, server: &Server, open: &Open) -> bool {
+        self.class(&open.request).effect == Effect::Safe || (!server.shut && server.failing < FAILING[2])
+    }
+
     /// Whether a request is predicted to be late at a cache for what is there already.
     fn crowded(&self, now: Micros, server: ServerId, open: &Open) -> bool {
         let Some(to) = self.servers.get(&server) else { return true };
@@ -975,7 +980,7 @@
 
     /// Books a failure of its own.
     fn fail(&mut self, now: Micros) {
-        self.failing += FAILING_WEIGHT * (1.0 - self.failing);
+        smooth(&mut self.failing, FAILING_WEIGHT, 1.0);
         if self.failing > FAILING[0] {
             self.close(now);
         }
@@ -1008,8 +1013,8 @@
     -unit.ln() / weight.max(0.001)
 }
 
-fn smooth(mean: &mut f64, sample: f64) {
-    *mean += SMOOTHING * (sample - *mean);
+fn smooth(mean: &mut f64, weight: f64, sample: f64) {
+    *mean += weight * (sample - *mean);
 }
 
 /// Spreads a number over 64 bits (the finalizer of SplitMix64).
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -1011,6 +1011,50 @@
     assert_eq!(write(&mut bench), bad, "it comes back by its answers");
 }
 
+/// A parent that fails some of its fills was taken again for writes with its next good one, and they were lost.
+#[test]
+fn no_write_goes_by_a_parent_that_failed_of_late() {
+    let mut told = settings();
+    told.classes.push(Class { effect: Effect::Unsafe, never_kept: true, ..told.classes[0].clone() });
+    let mut bench = Bench::new(told, fleet());
+    let writes = |bench: &mut Bench, parents: [u32; 2]| {
+        bench.now += 2 * SECOND;
+        let mut sources: Vec<u32> = Vec::new();
+        for object in 1..40 {
+            bench.next += 1;
+            let write = Request { class: ClassId(1), write: true, ..request(bench.next, object) };
+            let get = get_of(&bench.event(Event::Request(write))).expect("an attempt");
+            bench.end(&get, 0, AttemptResult::Ok, None);
+            sources.push(get.source.0);
+        }
+        assert!(parents.iter().all(|parent| sources.contains(parent)), "{sources:?}");
+        assert!(sources.iter().all(|source| parents.contains(source)), "{sources:?}");
+    };
+    let fill = |bench: &mut Bench, objects: std::ops::Range<u64>, bad: &[u32]| {
+        for object in objects {
+            let get = bench.get(object);
+            let failed = bad.contains(&get.source.0);
+            let (result, note) = if failed {
+                (AttemptResult::Error, Note::SourceLost)
+            } else {
+                (AttemptResult::Ok, Note::Filled)
+            };
+            if let Some(again) = get_of(&bench.end(&get, 0, result, Some(note))) {
+                bench.end(&again, 1, AttemptResult::Ok, Some(Note::Filled));
+            }
+        }
+    };
+    writes(&mut bench, [11, 12]);
+    fill(&mut bench, 100..110, &[11]);
+    bench.now += 2 * SECOND;
+    fill(&mut bench, 110..120, &[]);
+    writes(&mut bench, [12, 12]);
+    fill(&mut bench, 200..240, &[]);
+    writes(&mut bench, [11, 12]);
+    fill(&mut bench, 300..340, &[11, 12]);
+    writes(&mut bench, [21, 21]);
+}
+
 /// One answer that can't be read ends a connection with all that is open on it. That used to shut the cache, which
 /// crowded the others and got their requests refused.
 #[test]
