--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,8 +48,8 @@
 /// A server that fails outright gets one trial each time this has passed, us.
 const TRIAL_EVERY: Micros = SECOND;
 
-/// Weight of a new answer in a server's smoothed part of errors. A cache is left with trials once that is over the
-/// first, until under the second; above the third no write goes there or is filled there, if it need not.
+/// Weight of a new answer in a server's smoothed part of errors. A cache is left with trials once that is over
+/// the first, until under the second; above the third no write goes there or is filled there, if it need not.
 const FAILING_WEIGHT: f64 = 0.25;
 const FAILING: [f64; 3] = [0.4, 0.1, 0.02];
 
@@ -753,7 +753,7 @@
         trial && self.may_send(now, open, server) && !self.cold_full(now, server, open.request.class)
     }
 
-    /// Whether a request may be lost to a failure there that is to be expected: only one that must not run twice.
+    /// Whether no failure is to be expected there that would lose the request: one that must not run twice.
     fn is_sure(&self, server: &Server, open: &Open) -> bool {
         self.class(&open.request).effect == Effect::Safe || (!server.shut && server.failing < FAILING[2])
     }
