--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,8 +48,8 @@
 /// A server that fails outright gets one trial each time this has passed, us.
 const TRIAL_EVERY: Micros = SECOND;
 
-/// Weight of a new answer in a server's smoothed part of errors. A cache is left with trials once that is
-/// over the first, until under the second; above the third no write goes there or is filled there, if it need not.
+/// Weight of a new answer in a server's smoothed part of errors. Over the first a cache is left with trials,
+/// until under the second; over the third no write goes there, or is filled there, if it need not.
 const FAILING_WEIGHT: f64 = 0.25;
 const FAILING: [f64; 3] = [0.4, 0.1, 0.02];
 
