--- a/src/logic.rs
+++ b/src/logic.rs
@@ -298,13 +298,15 @@
         let request = &open.request;
         let object = key(request);
         let order = self.hash_order(now, object);
+        // A shut cache is no home for delegates: what they ask of it would put its trial off for good.
+        let sound: Vec<_> = order.iter().copied().filter(|s| !self.servers[s].shut).collect();
         let spent = open.attempts.len() >= open.limits.max_attempts as usize;
         if spent || self.worth_until(open) <= now {
             return self.give_up(now, id, out);
         }
         let first = open.attempts.is_empty();
         let never_kept = self.class(request).never_kept || request.write;
-        let helper = if first && !never_kept { self.delegate(now, open, &order, dice) } else { None };
+        let helper = if first && !never_kept { self.delegate(now, open, &sound, dice) } else { None };
         let blamed = |s: &ServerId| open.attempts.iter().filter(|a| a.server == *s && a.blamed).count();
         let blame = |s: &ServerId| (blamed(s), !self.is_sure(&self.servers[s], open));
         let home = order.iter().copied().filter(|s| self.usable(now, *s, open)).min_by_key(blame);
@@ -313,7 +315,7 @@
         let past = self.source(now, open).filter(|_| self.settings.direct && self.caches.is_empty());
         let past = past.filter(|s| !self.crowded(now, *s, open) && self.may_send(now, open, *s));
         let Some(server) = helper.or(home).or(past) else { return self.give_up(now, id, out) };
-        let source = match (helper, order.first()) {
+        let source = match (helper, sound.first()) {
             (Some(_), Some(home)) => Some(*home),
             _ if self.is_cache(server) => self.source(now, open),
             _ => None,
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -228,6 +228,29 @@
     }
 }
 
+/// Delegates named a home that was shut as their source, and each time its trial was put off: it never came back.
+#[test]
+fn a_shut_cache_that_is_home_to_popular_objects_is_no_source_and_gets_its_trial() {
+    let mut bench = Bench::new(settings(), fleet());
+    for object in 1..60 {
+        bench.popular(object);
+        [0; 2].map(|_| bench.served(object));
+    }
+    let lost =
+        (100..200).map(|object| bench.get(object)).find(|get| get.server.0 == 1).expect("one goes there");
+    bench.end(&lost, 0, AttemptResult::ConnectFailed, None);
+    let mut tried_at = None;
+    for step in 1..60 {
+        bench.now += 50 * MS;
+        for object in (1..60).chain([1000 + step]) {
+            let get = bench.served(object);
+            tried_at = tried_at.or((get.server.0 == 1).then_some(bench.now));
+            assert!(get.source.0 != 1 || tried_at.is_some(), "it is shut");
+        }
+    }
+    assert!(tried_at.is_some_and(|at| (SECOND..SECOND + 100 * MS).contains(&at)), "{tried_at:?}");
+}
+
 #[test]
 fn a_delegate_that_misses_is_none_any_more_and_the_request_goes_home() {
     let mut bench = Bench::new(settings(), fleet());
