--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -234,7 +234,9 @@
     let mut bench = Bench::new(settings(), fleet());
     for object in 1..60 {
         bench.popular(object);
-        [0; 2].map(|_| bench.served(object));
+        for _ in 0..2 {
+            bench.served(object);
+        }
     }
     let lost =
         (100..200).map(|object| bench.get(object)).find(|get| get.server.0 == 1).expect("one goes there");
