--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -30,6 +30,9 @@
 /// A connection on which nothing is open for this long is closed, us. Clients close theirs after 4 s; some that ask
 /// once never would.
 const IDLE: i64 = 6_000_000;
+/// Before a connection is handed on nothing is read there for this long at most, us: most answers come within it, and
+/// what waits unread has time left.
+pub const PAUSE: i64 = 300_000;
 /// How long a client may take to close after it was told the end, us.
 const LINGER: i64 = 1_000_000;
 
@@ -86,8 +89,10 @@
     asked: bool,
     /// There may be more to read than its turn allowed.
     more: bool,
-    /// Nothing more is read: it is to be handed on once what is open is answered.
-    paused: bool,
+    /// Since when nothing more is read: it is to be handed on once what is open is answered...
+    paused: Option<i64>,
+    /// ... but not before this: it had its pause.
+    rested: i64,
     /// All is said, and the client is to close: closing first, with its bytes unread, would reset the connection
     /// and could take the last answers away from it.
     lingers: Option<i64>,
@@ -100,6 +105,14 @@
         let quiet = self.asked && self.lingers.is_none() && !self.more && self.open.is_empty();
         quiet && net.unwritten(conn) == 0 && !unread(net)
     }
+
+    /// Reads again: what has come meanwhile has its turn.
+    fn resume(&mut self, conn: ConnKey, turns: &mut VecDeque<ConnKey>) {
+        self.paused = None;
+        if !std::mem::replace(&mut self.more, true) {
+            turns.push_back(conn);
+        }
+    }
 }
 
 /// The clients' connections.
@@ -124,7 +137,8 @@
             begun: Some(now),
             asked: false,
             more: false,
-            paused: false,
+            paused: None,
+            rested: now,
             lingers: None,
         };
         self.sessions.insert(conn, session);
@@ -167,12 +181,21 @@
         }
     }
 
-    /// The connections that can be handed on: nothing is open there. From now on, nothing is read where no more than
-    /// `most` requests are open.
-    pub fn to_hand_on(&mut self, most: usize, net: &Net) -> Vec<ConnKey> {
+    /// The connections that can be handed on: nothing is open there. Where no more than `most` requests are open,
+    /// nothing is read for [`PAUSE`], and then for as long what waits is; all of them pause before the end.
+    pub fn to_hand_on(&mut self, now: i64, most: usize, before_end: bool, net: &Net) -> Vec<ConnKey> {
         let mut all: Vec<ConnKey> = Vec::new();
         for (conn, session) in self.sessions.iter_mut().filter(|(_, session)| session.lingers.is_none()) {
-            session.paused |= session.open.len() <= most;
+            match session.paused {
+                Some(since) if !before_end && since + PAUSE <= now => {
+                    session.rested = now + PAUSE;
+                    session.resume(*conn, &mut self.turns);
+                }
+                None if before_end || (session.open.len() <= most && session.rested <= now) => {
+                    session.paused = Some(now);
+                }
+                _ => {}
+            }
             if session.open.is_empty() && net.unwritten(*conn) == 0 {
                 all.push(*conn);
             }
@@ -188,9 +211,8 @@
 
     /// Reads again everywhere: there is nobody to hand connections to.
     pub fn resume(&mut self) {
-        for (conn, session) in self.sessions.iter_mut().filter(|(_, session)| session.paused) {
-            (session.paused, session.more) = (false, true);
-            self.turns.push_back(*conn);
+        for (conn, session) in self.sessions.iter_mut().filter(|(_, session)| session.paused.is_some()) {
+            session.resume(*conn, &mut self.turns);
         }
     }
 
@@ -286,7 +308,7 @@
 
     fn read(&mut self, now: i64, conn: ConnKey, net: &mut Net, asks: &mut Vec<Ask>) -> Result<(), Reason> {
         let mut taken = 0;
-        if self.sessions.get(&conn).is_some_and(|session| session.paused) {
+        if self.sessions.get(&conn).is_some_and(|session| session.paused.is_some()) {
             return Ok(());
         }
         // Its next read comes with the write event that says that some bytes were taken.
--- a/src/front/thrift/tests.rs
+++ b/src/front/thrift/tests.rs
@@ -86,3 +86,30 @@
         }
     }
 }
+
+/// One request that stayed open for long kept all that came behind it unread, to the end of its time.
+#[test]
+fn a_pause_before_a_connection_is_handed_on_ends_whatever_is_open_there() {
+    let mut bench = Bench::new();
+    assert_eq!(bench.send(0, &invoke(1)).len(), 1);
+    let hand_on = |bench: &mut Bench, now, most, before_end| {
+        let all = bench.front.to_hand_on(now, most, before_end, &bench.net);
+        (all.len(), bench.front.sessions[&bench.conn].paused.is_some(), bench.front.turns())
+    };
+    assert_eq!(hand_on(&mut bench, 10, 0, false), (0, false, 0), "too much is open");
+    assert_eq!(hand_on(&mut bench, 20, 1, false), (0, true, 0));
+    bench.client.write_all(&invoke(2)).expect("written");
+    assert_eq!(bench.front.ready(30, bench.conn, &mut bench.net, &mut bench.due), []);
+    assert_eq!(hand_on(&mut bench, 20 + PAUSE, 1, false), (0, false, 1), "what waits has its turn");
+    assert_eq!(hand_on(&mut bench, 20 + 2 * PAUSE - 1, 1, false), (0, false, 1));
+    assert_eq!(bench.front.turn(), Some(bench.conn));
+    assert_eq!(bench.send(20 + PAUSE, &[]).len(), 1);
+    assert_eq!(hand_on(&mut bench, 20 + 2 * PAUSE, 1, false), (0, false, 0), "two are open now");
+    assert_eq!(hand_on(&mut bench, 20 + 2 * PAUSE, 1, true), (0, true, 0), "the end is near");
+    assert_eq!(hand_on(&mut bench, 20 + 4 * PAUSE, 1, true), (0, true, 0));
+    for seqid in [1, 2] {
+        let reply = Reply::Pong(true);
+        bench.front.answer(0, bench.conn, seqid, reply, &mut bench.net, &mut bench.due);
+    }
+    assert_eq!(hand_on(&mut bench, 20 + 4 * PAUSE, 1, true), (1, true, 0), "nothing is open");
+}
--- a/src/server/leave.rs
+++ b/src/server/leave.rs
@@ -3,6 +3,7 @@
 use super::handover::Handed;
 use super::{Due, Server};
 use crate::deadlines::Schedule;
+use crate::front::thrift::PAUSE;
 use crate::interface::Micros;
 use crate::net::{Ready, Role};
 use log::{info, warn};
@@ -66,7 +67,8 @@
         if self.handover.has_newer() {
             let begun = self.stopping.unwrap_or(self.now);
             let most = ((self.now - begun) / PAUSE_STEP) as usize;
-            for conn in self.thrift.to_hand_on(most, &self.net) {
+            let before_end = self.force() <= self.now + PAUSE;
+            for conn in self.thrift.to_hand_on(self.now, most, before_end, &self.net) {
                 let handover = &mut self.handover;
                 if self.net.hand_on(self.now, conn, |stream, unused| handover.hand(stream, unused)) {
                     self.thrift.handed_on(conn, &mut self.due);
@@ -95,13 +97,18 @@
         }
     }
 
+    /// When what is open gets its answer, since the end by force is near.
+    fn force(&self) -> Micros {
+        let longest = self.names.deadlines.iter().copied().max().unwrap_or(0).min(LONGEST);
+        self.stopping.unwrap_or(self.now) + longest + BEFORE_FORCE
+    }
+
     pub(super) fn look_for_end(&mut self) {
         let begun = self.stopping.unwrap_or(self.now);
         let links = self.links.as_ref().map(|links| &links.front);
         let flushed =
             self.thrift.is_flushed(&self.net) && links.is_none_or(|links| links.is_flushed(&self.net));
-        let longest = self.names.deadlines.iter().copied().max().unwrap_or(0).min(LONGEST);
-        let force = begun + longest + BEFORE_FORCE;
+        let force = self.force();
         if self.is_leaving() && force <= self.now {
             self.core.expire(self.now, &mut self.due);
         }
