Take the smaller budget of further attempts after all: what lost at upgrades was the pause

The loss that was laid to it came from requests ended at the door. Test: further_attempts_stay_a_small_part_of_all, which fails with a fifth.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,8 +64,8 @@
 const CROWD_MEMORY: Micros = SECOND / 4;
 /// Most own and assumed attempts at a cache, over its link: past it even small requests wait too long.
 const CROWD_MOST: f64 = 6.0;
-/// Further attempts that each request adds to the retry budget: a shared bottleneck is not fed more.
-const RETRY_SHARE: f64 = 0.2;
+/// Further attempts that each request adds to the retry budget: more feed a shared bottleneck past its end.
+const RETRY_SHARE: f64 = 0.05;
 /// Most further attempts that the budget holds.
 const RETRY_MOST: f64 = 20.0;
 /// Part of the cold budget that is used: true sizes lie below the registered ones at times.
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -980,7 +980,7 @@
     }
 }
 
-/// What is slow for a crowd must not be asked for twice without end.
+/// Of what is slow for a crowd, a fifth was asked for twice: the crowd grew by it and outlived what had begun it.
 #[test]
 fn further_attempts_stay_a_small_part_of_all() {
     let mut bench = Bench::new(settings(), fleet());
@@ -992,7 +992,7 @@
         further += usize::from(again.is_some());
         again.map(|again| bench.end(&again, 1, AttemptResult::Ok, Some(Note::Filled)));
     }
-    assert!((200..=240).contains(&further), "{further} of 1000");
+    assert!((50..=80).contains(&further), "{further} of 1000");
 }
 
 /// Until its first answer a write was taken for as long as its whole target, and refused in every day's first seconds.
