--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -121,13 +121,15 @@
     }
 }
 
-/// The paths of an object's keys. Of a list, they are those that all its objects have; what of the configuration may
-/// come and go is left out.
+/// The keys of the configuration that may come and go.
+const OPTIONAL: [&str; 3] = ["admin", "known", "aim_stretch"];
+
+/// The paths of an object's keys. Of a list, they are those that all its objects have.
 fn keys(value: &Value) -> BTreeSet<String> {
     let below = |name: &str, value| keys(value).into_iter().map(|key| format!("{name}.{key}")).collect();
     match value {
         Value::Object(map) => {
-            let fixed = map.iter().filter(|(name, _)| !["admin", "known"].contains(&name.as_str()));
+            let fixed = map.iter().filter(|(name, _)| !OPTIONAL.contains(&name.as_str()));
             fixed
                 .flat_map(|(name, value)| [below(name, value), BTreeSet::from([name.clone()])])
                 .flatten()
@@ -174,3 +176,19 @@
     let file = || path.display().to_string();
     std::fs::read(path).map_err(|error| ConfigError::Read { path: file(), error })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A class that need not have a key was taken for one of a file cut off, where all classes before it had the key.
+    #[test]
+    fn keys_that_may_be_absent_are_not_missed() {
+        let keys = |text: &str| keys(&serde_json::from_str(text).expect("JSON"));
+        let all = keys(r#"{"admin": 1, "grades": [{"name": 1, "aim_stretch": 2}]}"#);
+        let fewer = keys(r#"{"grades": [{"name": 1, "aim_stretch": 2}, {"name": 1}]}"#);
+        assert_eq!(all, fewer);
+        let lacking = keys(r#"{"grades": [{"name": 1}, {"deadline": 1}]}"#);
+        assert_eq!(all.difference(&lacking).collect::<Vec<_>>(), ["grades.name"]);
+    }
+}
