Add the admission module: caps by address and prefix, token buckets, known clients

Change: src/admission, a pure state machine on passed-in time. It caps open connections per address and per IPv4 /24 or IPv6 /64 beyond those in good standing (so clients behind one NAT address that ask are not capped as one), rates new connections of unknown addresses and of prefixes by token buckets, keeps a share of clients' connections for addresses known within a window and descriptors for upstream sockets, and follows descriptor exhaustion as episodes with doubling, bounded pauses.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 #[doc = include_str!("../README.md")]
 struct Readme;
 
+pub mod admission;
 pub mod config;
 pub mod core;
 pub mod deadlines;
