Wire admission into both fronts' accept paths, with a spare descriptor and a flood tool

Change: src/server/admit.rs asks the module for each new client connection. A refused Thrift connection has every invoke answered with Trylater and its pause, then ends (end=admission); a refused link gets one 503 with Retry-After before a byte is read. EMFILE and the like start one logged episode with doubling pauses, and the spare descriptor takes one waiting connection to refuse it. /stats gains admission_* and descriptor_* figures. 'dahliatrack flood' drives known clients and a flood on loopback (hdrhistogram).

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -266,6 +266,14 @@
         Ok(())
     }
 
+    /// Whether a refused connection is answered with a refusal (it is held until then) or closed before a byte is
+    /// read: with `refusing` held already, or with descriptors so few that holding one would eat into the reserve
+    /// for table caches, it is closed, which for its client proves that nothing ran.
+    pub fn answers_refusal(&self, refusing: usize, free: Option<usize>) -> bool {
+        let reserve = self.settings.reserve_upstream;
+        refusing < self.settings.most_refusing && free.is_none_or(|free| free > reserve / 2)
+    }
+
     /// A connection's call was answered by the edge proxy: it is in good standing from now on, and its address known.
     pub fn good(&mut self, now: Micros, conn: u64) {
         let Some(entry) = self.conns.get_mut(&conn) else { return };
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -202,3 +202,12 @@
         assert!(error.contains(words), "{text:?}: {error}");
     }
 }
+
+#[test]
+fn a_refused_connection_is_held_to_be_answered_only_while_that_costs_nothing_needed() {
+    let admission =
+        Admission::new(AdmissionSettings { most_refusing: 2, reserve_upstream: 16, ..settings() });
+    assert!(admission.answers_refusal(1, Some(100)) && admission.answers_refusal(1, None));
+    assert!(!admission.answers_refusal(2, Some(100)), "as many held as may be");
+    assert!(!admission.answers_refusal(0, Some(8)), "half the reserve for table caches is left");
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -152,6 +152,8 @@
     pub signed: Option<PathBuf>,
     /// PROXY_ADMIN: where operators' calls are taken, whatever the configuration says.
     pub admin: Option<SocketAddr>,
+    /// PROXY_ADMISSION: the operator's admission file, in HCL; every connection is taken without it.
+    pub admission: Option<PathBuf>,
 }
 
 impl Files {
@@ -165,6 +167,18 @@
         let config = Config::read(&self.config)?;
         Ok((Config { admin: self.admin.or(config.admin), ..config }, signed))
     }
+
+    /// Reads and checks the admission file; without one, admission is off.
+    ///
+    /// # Errors
+    ///
+    /// A file that cannot be read, is not HCL, or holds a value out of its range.
+    pub fn admission(&self) -> Result<crate::admission::AdmissionSettings, ConfigError> {
+        let Some(path) = &self.admission else { return Ok(crate::admission::AdmissionSettings::off()) };
+        let text = read(path)?;
+        let text = String::from_utf8(text).map_err(|_| ConfigError::form(path, "not UTF-8"))?;
+        crate::admission::AdmissionSettings::parse(&text).map_err(|error| ConfigError::form(path, error))
+    }
 }
 
 /// Reads a file.
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -365,6 +365,26 @@
         self.sessions.get(&conn).is_some_and(|session| session.more && session.turns.len() < MOST_OPEN / 2)
     }
 
+    /// Answers a connection that admission refused before anything is read there: one 503 with `Retry-After`, then
+    /// its end, lingering for the client to close so that the answer is not taken away by a reset.
+    pub fn refuse_all(
+        &mut self,
+        now: i64,
+        conn: ConnKey,
+        seconds: i64,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) {
+        let refused = Answer { retry_after: Some(seconds.max(1)), ..Answer::bare(503) };
+        if let Err(reason) = net.write(conn, http::answer(&refused, false, false, now)) {
+            return self.close(now, conn, reason, net, due);
+        }
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            session.last = true;
+        }
+        self.finish(now, conn, net, due);
+    }
+
     /// Says the end on a connection all of whose answers have left and which is to end with them.
     pub fn finish(&mut self, now: i64, conn: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) {
         let Some(session) = self.sessions.get_mut(&conn) else { return };
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -224,9 +224,16 @@
     }
 
     /// Ends a connection that is still idle.
-    pub fn fade(&mut self, now: i64, conn: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) {
+    pub fn fade(
+        &mut self,
+        now: i64,
+        conn: ConnKey,
+        reason: Reason,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) {
         if self.sessions.get(&conn).is_some_and(|session| session.is_idle(conn, net)) {
-            self.end(now, conn, Reason::Stopping, net, due);
+            self.end(now, conn, reason, net, due);
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod feed;
 pub mod front;
 pub mod interface;
+pub mod lab;
 pub mod logic;
 pub mod net;
 pub mod server;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use dahliatrack::config::signed::Signed;
 use dahliatrack::config::{ConfigError, Files};
 use dahliatrack::front::signed::gate::{Binding, Gate, Grant, SignError};
+use dahliatrack::lab::flood::{self, Plan};
 use dahliatrack::server::{route_classes, Server, ServerError};
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -33,6 +34,9 @@
         /// Where operators' calls are taken, in place of the configuration's `admin`; off without either
         #[arg(long, env = "PROXY_ADMIN")]
         admin: Option<SocketAddr>,
+        /// The operator's admission file (HCL): caps, rates and reserves of clients' connections; off without it
+        #[arg(long, env = "PROXY_ADMISSION")]
+        admission: Option<PathBuf>,
         /// The least important log lines to write
         #[arg(long, default_value = "info", value_parser = level)]
         log: log::LevelFilter,
@@ -45,10 +49,37 @@
         /// The operator's file of the second front
         #[arg(long, env = "PROXY_SIGNED")]
         signed: Option<PathBuf>,
+        /// The operator's admission file
+        #[arg(long, env = "PROXY_ADMISSION")]
+        admission: Option<PathBuf>,
     },
     /// Issue a signed URL or a token of the second front
     #[command(subcommand)]
     Sign(Sign),
+    /// Flood an edge proxy on loopback from one address while known clients play from another; bounded in time
+    Flood {
+        /// The platform's front
+        #[arg(long)]
+        target: SocketAddr,
+        /// Known clients, a thread each
+        #[arg(long, default_value_t = 50)]
+        known: usize,
+        /// The loopback address they come from
+        #[arg(long, default_value = "127.0.0.2")]
+        known_from: std::net::IpAddr,
+        /// Silent connections the flood holds at most
+        #[arg(long, default_value_t = 2000)]
+        flood: usize,
+        /// The loopback address it comes from
+        #[arg(long, default_value = "127.0.0.3")]
+        flood_from: std::net::IpAddr,
+        /// Seconds, at most 600
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        /// The class of known clients' requests
+        #[arg(long, default_value = "piece")]
+        route: String,
+    },
     /// Print the version
     Version,
 }
@@ -118,6 +149,8 @@
     Server(#[from] ServerError),
     #[error(transparent)]
     Sign(#[from] SignError),
+    #[error("flood: {0}")]
+    Flood(String),
 }
 
 fn main() -> ExitCode {
@@ -128,7 +161,7 @@
             let config = match &error {
                 Error::Config(_) => true,
                 Error::Server(error) => error.is_config(),
-                Error::Sign(_) => false,
+                Error::Sign(_) | Error::Flood(_) => false,
             };
             ExitCode::from(if config { BAD_CONFIG } else { 1 })
         }
@@ -137,17 +170,22 @@
 
 fn run(command: Command) -> Result<(), Error> {
     match command {
-        Command::Serve { config, signed, admin, log } => {
+        Command::Serve { config, signed, admin, admission, log } => {
             logger::start(log);
-            Server::start(Files { config, signed, admin })?.run()?;
+            Server::start(Files { config, signed, admin, admission })?.run()?;
         }
-        Command::CheckConfig { config, signed } => {
-            let (config, signed) = Files { config, signed, admin: None }.read()?;
+        Command::CheckConfig { config, signed, admission } => {
+            let files = Files { config, signed, admin: None, admission };
+            let on = files.admission()?.enabled;
+            let (config, signed) = files.read()?;
             let routes = signed.map(|signed| route_classes(&signed, &config.settings)).transpose()?;
             print(&format!("{}: usable, {} events known", config.name, config.known.events.len()));
             if let Some(routes) = routes {
                 print(&format!("second front: usable, {} routes", routes.len()));
             }
+            if on {
+                print(&"admission: usable, on");
+            }
         }
         Command::Sign(Sign::Url { with: With { signed, key, expires }, url }) => {
             print(&Gate::new(&Signed::read(&signed)?).sign_url(&key, &url, expires)?);
@@ -164,6 +202,24 @@
             let grant = Grant { binding, exp: expires, nbf: not_before, iss: issuer };
             print(&Gate::new(&Signed::read(&signed)?).sign_token(&key, &grant)?);
         }
+        Command::Flood { target, known, known_from, flood, flood_from, seconds, route } => {
+            let loopback = [target.ip(), known_from, flood_from].iter().all(std::net::IpAddr::is_loopback);
+            if !loopback {
+                return Err(Error::Flood("only loopback addresses are flooded".into()));
+            }
+            let seconds = seconds.clamp(0.1, 600.0);
+            let plan = Plan {
+                target,
+                known,
+                known_from,
+                flood,
+                flood_from,
+                seconds,
+                most_connections: 100_000,
+                route,
+            };
+            print(&flood::run(&plan).map_err(|error| Error::Flood(error.to_string()))?);
+        }
         Command::Version => print(&format!("dahliatrack {}", env!("CARGO_PKG_VERSION"))),
     }
     Ok(())
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -74,6 +74,7 @@
     stream: TcpStream,
     role: Role,
     peer: String,
+    address: std::net::IpAddr,
     opened: i64,
     input: BytesMut,
     out: VecDeque<Bytes>,
@@ -90,6 +91,8 @@
     count: [usize; 5],
     scratch: Vec<u8>,
     held: usize,
+    /// Clients' connections that ended since [`Net::take_closed`] was last called, by number.
+    closed: Vec<u64>,
 }
 
 impl Net {
@@ -106,6 +109,7 @@
             count: [0; 5],
             scratch: vec![0; CHUNK],
             held: 0,
+            closed: Vec::new(),
         })
     }
 
@@ -171,6 +175,21 @@
         self.count[role as usize]
     }
 
+    /// Connections of all roles.
+    pub fn total(&self) -> usize {
+        self.count.iter().sum()
+    }
+
+    /// The address of a connection's peer.
+    pub fn address(&self, key: ConnKey) -> Option<std::net::IpAddr> {
+        self.conns.get(key).map(|conn| conn.address)
+    }
+
+    /// The numbers of clients' connections that ended since the last call, by whatever way.
+    pub fn take_closed(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.closed)
+    }
+
     /// Bytes that all connections' buffers hold.
     pub fn held(&self) -> usize {
         self.held
@@ -212,6 +231,7 @@
             stream,
             role,
             peer: peer.to_string(),
+            address: peer.ip(),
             opened: now,
             input: BytesMut::new(),
             out: VecDeque::new(),
@@ -430,6 +450,9 @@
         let Some(mut conn) = self.conns.remove(key) else { return };
         let _ = self.poll.registry().deregister(&mut conn.stream);
         self.count[conn.role as usize] -= 1;
+        if matches!(conn.role, Role::Thrift | Role::Signed) {
+            self.closed.push(key.number());
+        }
         self.held = self.held.saturating_sub(conn.input.len() + conn.out_bytes);
         let (role, peer, code, age) = (conn.role, &conn.peer, reason.code(), (now - conn.opened) / 1000);
         let (read, wrote) = (conn.read, conn.wrote);
--- a/src/net/reason.rs
+++ b/src/net/reason.rs
@@ -37,6 +37,8 @@
     HandedOn,
     /// The edge proxy stops.
     Stopping,
+    /// Admission refused it: its calls were answered with a refusal, or it was closed before a byte was read.
+    Refused,
 }
 
 impl Reason {
@@ -60,6 +62,7 @@
             Reason::Done => "done",
             Reason::HandedOn => "handed-on",
             Reason::Stopping => "stopping",
+            Reason::Refused => "admission",
         }
     }
 }
--- /dev/null
+++ b/src/server/admit.rs
@@ -0,0 +1,186 @@
+//! The accept path's admission: asks [`crate::admission::Admission`] about each new client's connection and
+//! enforces its verdict with each front's own refusal, tells it which connections came into good standing and
+//! which ended, and meets descriptors running out with a spare one. The decisions are all the module's.
+
+use super::{Due, Server, ACCEPT_AGAIN};
+use crate::admission::{Admission, AdmissionSettings, Refusal, Room, Verdict};
+use crate::core::Final;
+use crate::deadlines::Schedule;
+use crate::front::thrift::codec::Reply;
+use crate::interface::{ClassId, Micros};
+use crate::net::{ConnKey, Reason, Role};
+use log::{info, warn};
+use std::collections::HashMap;
+use std::io;
+
+/// Descriptors besides connections, as the budget counts them.
+use super::reload::OTHER_SOCKETS;
+
+/// What the server holds for admission.
+pub(super) struct Admitting {
+    pub admission: Admission,
+    /// Connections of the platform's front that were refused: each call there gets a refusal with this pause, us.
+    pub refusing: HashMap<ConnKey, Micros>,
+    /// A descriptor held to take one connection and refuse it when there are no others.
+    spare: Option<std::fs::File>,
+    /// Descriptors that are no connection (listeners, poll, signals, standard streams), as counted once.
+    others: Option<usize>,
+}
+
+impl Admitting {
+    pub fn new(settings: AdmissionSettings) -> Self {
+        let mut admitting = Admitting {
+            admission: Admission::new(settings),
+            refusing: HashMap::new(),
+            spare: None,
+            others: None,
+        };
+        admitting.keep_spare();
+        admitting
+    }
+
+    /// Takes settings that were read again.
+    pub fn reconfigure(&mut self, settings: AdmissionSettings) {
+        self.admission.reconfigure(settings);
+        self.others = None;
+        if !self.wants_spare() {
+            self.spare = None;
+        }
+        self.keep_spare();
+    }
+
+    fn wants_spare(&self) -> bool {
+        self.admission.is_on() && self.admission.settings().spare_descriptor
+    }
+
+    /// Opens the spare descriptor where one is wanted and none is held; it may fail while descriptors are out.
+    fn keep_spare(&mut self) {
+        if self.wants_spare() && self.spare.is_none() {
+            self.spare = std::fs::File::open("/dev/null").ok();
+        }
+    }
+}
+
+/// Whether an accept failed for want of descriptors or kernel memory.
+fn is_exhausted(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(23 | 24 | 105 | 12)) // ENFILE, EMFILE, ENOBUFS, ENOMEM
+}
+
+impl Server {
+    /// Descriptors that the process may still open, by its soft limit and what it holds. What is no connection is
+    /// counted in `/proc/self/fd` once (again after SIGHUP), or taken as the budget's figure where that can't be read.
+    fn free_descriptors(&mut self) -> Option<usize> {
+        let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current?;
+        let (conns, spare) = (self.net.total(), usize::from(self.admitting.spare.is_some()));
+        let others = *self.admitting.others.get_or_insert_with(|| {
+            let open = std::fs::read_dir("/proc/self/fd").map(Iterator::count);
+            // The directory's own descriptor is counted too.
+            open.map_or(OTHER_SOCKETS, |open| open.saturating_sub(conns + spare + 1))
+        });
+        Some(usize::try_from(limit).unwrap_or(usize::MAX).saturating_sub(conns + others + spare))
+    }
+
+    /// Judges a connection that was just accepted; `false` if it was refused and is dealt with here.
+    pub(super) fn admit(&mut self, role: Role, conn: ConnKey, shed: bool) -> bool {
+        let Some(address) = self.net.address(conn) else { return false };
+        let clients = (self.clients() + self.handover.clients()).saturating_sub(1);
+        let free = if self.admitting.admission.is_on() { self.free_descriptors() } else { None };
+        let verdict = if shed {
+            let pause = self.admitting.admission.settings().pause_ms as Micros * 1000;
+            Verdict::Refuse { why: Refusal::Descriptors, pause }
+        } else {
+            let room = Room { clients, budget: self.budget.clients, free };
+            self.admitting.admission.admit(self.now, conn.number(), address, room)
+        };
+        let Verdict::Refuse { why, pause } = verdict else { return true };
+        let pause = if self.started.retry_after() { pause } else { 0 };
+        info!("conn={conn} refused: {} from {address}", why.code());
+        if !self.admitting.admission.answers_refusal(self.admitting.refusing.len(), free) {
+            // Nothing was read: for its client the connection never ran.
+            self.net.close(self.now, conn, Reason::Refused);
+        } else if role == Role::Thrift {
+            self.thrift.open(self.now, conn, &mut self.due);
+            self.admitting.refusing.insert(conn, pause);
+        } else if let Some(links) = &mut self.links {
+            links.front.open(self.now, conn, &mut self.due);
+            let seconds = (pause + 999_999) / 1_000_000;
+            links.front.refuse_all(self.now, conn, seconds, &mut self.net, &mut self.due);
+        }
+        false
+    }
+
+    /// The refusal that a call on a refused connection gets.
+    pub(super) fn refused_call(&mut self, conn: ConnKey, class: Option<ClassId>) -> Option<Reply> {
+        let pause = *self.admitting.refusing.get(&conn)?;
+        let refused = Final::Refused { pause, late: false };
+        class.into_iter().for_each(|class| self.core.count(class, &refused));
+        Some(crate::server::words::reply(refused))
+    }
+
+    /// Ends a refused connection once all its calls are answered.
+    pub(super) fn end_refused(&mut self, conn: ConnKey) {
+        if self.admitting.refusing.contains_key(&conn) {
+            self.thrift.fade(self.now, conn, Reason::Refused, &mut self.net, &mut self.due);
+        }
+    }
+
+    /// A call of this connection was answered by the edge proxy: it is in good standing.
+    pub(super) fn in_good_standing(&mut self, conn: ConnKey) {
+        self.admitting.admission.good(self.now, conn.number());
+    }
+
+    /// Forgets connections that have ended, whichever way.
+    pub(super) fn forget_closed(&mut self) {
+        for number in self.net.take_closed() {
+            self.admitting.admission.closed(number);
+            self.admitting.refusing.remove(&crate::slots::Key::from_number(number));
+        }
+        self.admitting.keep_spare();
+    }
+
+    /// An accept failed. Out of descriptors with admission on: one episode, pauses that double, and the spare
+    /// descriptor given up to take one waiting connection and refuse it.
+    pub(super) fn accept_failed(&mut self, role: Role, error: &io::Error) {
+        if role == Role::Admin || !(self.admitting.admission.is_on() && is_exhausted(error)) {
+            warn!("accept: {error}");
+            self.due.add(self.now + ACCEPT_AGAIN, Due::Accept);
+            return;
+        }
+        let backoff = self.admitting.admission.exhaustion.failed(self.now);
+        if backoff.began {
+            warn!("descriptors: out ({error}); accepts pause, one connection at a time is refused with the spare");
+        }
+        self.due.add(backoff.until, Due::Accept);
+        if self.admitting.spare.take().is_none() {
+            return;
+        }
+        if let Ok(Ok(Some(conn))) = self.accept_raw(role) {
+            self.admitting.admission.exhaustion.shed();
+            self.admit(role, conn, true);
+        }
+    }
+
+    /// An accept went through or found nobody: an episode of exhaustion is over.
+    pub(super) fn accept_worked(&mut self) {
+        if let Some(ended) = self.admitting.admission.exhaustion.accepted(self.now) {
+            let (ms, tries, shed) = (ended.lasted / 1000, ended.tries, ended.shed);
+            info!(
+                "descriptors: episode over after {ms} ms, {tries} accepts failed, {shed} connections refused"
+            );
+        }
+    }
+
+    /// The figures of admission, for the operators' door.
+    pub(super) fn admission_figures(&self, line: &mut dyn FnMut(&str, u64)) {
+        let counts = self.admitting.admission.counts();
+        line("admission_admitted", counts.admitted);
+        line("admission_good", counts.good);
+        for (why, count) in Refusal::ALL.iter().zip(counts.refused) {
+            line(&format!("admission_refused.{}", why.code()), count);
+        }
+        line("admission_refusing", self.admitting.refusing.len() as u64);
+        let exhaustion = &self.admitting.admission.exhaustion;
+        line("descriptor_episodes", exhaustion.episodes);
+        line("descriptor_shed", exhaustion.shed);
+    }
+}
--- a/src/server/figures.rs
+++ b/src/server/figures.rs
@@ -67,6 +67,7 @@
         line("targets_disabled", disabled as u64);
         line("reload_success", self.reloads[0]);
         line("reload_failure", self.reloads[1]);
+        self.admission_figures(&mut line);
         text
     }
 }
--- a/src/server/leave.rs
+++ b/src/server/leave.rs
@@ -80,7 +80,7 @@
             // What has come meanwhile is still answered.
             self.on_ready(Ready::Conn { key: conn, read: true, write: false });
             self.pump();
-            self.thrift.fade(self.now, conn, &mut self.net, &mut self.due);
+            self.thrift.fade(self.now, conn, crate::net::Reason::Stopping, &mut self.net, &mut self.due);
         }
     }
 
@@ -89,6 +89,9 @@
         match self.net.adopt(self.now, stream, Role::Thrift, &unused) {
             Ok(conn) => {
                 self.thrift.adopt(self.now, conn, &mut self.due);
+                if let Some(address) = self.net.address(conn) {
+                    self.admitting.admission.adopted(self.now, conn.number(), address);
+                }
                 // What was read there already brings no event.
                 self.on_ready(Ready::Conn { key: conn, read: true, write: false });
                 self.pump();
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! The edge proxy: one loop over sockets, deadlines and the core's commands. It ties fronts, upstream and
 //! feed to the core and translates between their words; it decides nothing about requests.
 
+mod admit;
 mod figures;
 mod handover;
 mod leave;
@@ -170,6 +171,7 @@
     signals: Signals,
     handover: Handover,
     budget: Budget,
+    admitting: admit::Admitting,
     /// Whether the list of servers has been had.
     listed: bool,
     stopping: Option<Micros>,
@@ -187,6 +189,7 @@
         // First of all: a signal that comes before it is watched for ends the program.
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
         net.watch(&mut signals, SIGNALS)?;
+        let admission = files.admission()?;
         let (config, signed) = files.read()?;
         let mut clock = Clock::default();
         let now = clock.now();
@@ -221,6 +224,7 @@
             listener: Some(listener),
             handover: Handover::begin(addr, &mut net),
             budget,
+            admitting: admit::Admitting::new(admission),
             listed: false,
             stopping: None,
             stopped: false,
@@ -273,6 +277,7 @@
                 self.pump();
             }
             self.fade();
+            self.forget_closed();
             self.handover.tell(self.clients());
         }
         self.handover.end(&mut self.net);
@@ -329,6 +334,7 @@
                 } else if self.thrift.owns(key) {
                     let asks = self.thrift.ready(self.now, key, &mut self.net, &mut self.due);
                     self.asked(asks);
+                    self.end_refused(key);
                 } else if self.links.as_ref().is_some_and(|links| links.front.owns(key)) {
                     self.read_links(key);
                     self.advance(key);
@@ -383,6 +389,8 @@
     fn take_in(&mut self, role: Role, conn: ConnKey) {
         if !self.has_room() {
             self.net.close(self.now, conn, Reason::TooMany);
+        } else if !self.admit(role, conn, false) {
+            // refused, and answered so
         } else if role == Role::Thrift {
             self.thrift.open(self.now, conn, &mut self.due);
         } else if let Some(links) = &mut self.links {
@@ -405,21 +413,32 @@
     }
 
     fn accept_one(&mut self, role: Role) -> Option<ConnKey> {
-        let listener = match role {
-            Role::Thrift => self.listener.as_ref()?,
-            Role::Admin => &self.door.as_ref()?.listener,
-            _ => self.links.as_ref()?.listener.as_ref()?,
-        };
-        match self.net.accept(self.now, listener, role) {
-            Ok(conn) => conn,
+        match self.accept_raw(role) {
+            Ok(Err(())) => None,
+            Ok(Ok(conn)) => {
+                if role != Role::Admin {
+                    self.accept_worked();
+                }
+                conn
+            }
             Err(error) => {
-                warn!("accept: {error}");
-                self.due.add(self.now + ACCEPT_AGAIN, Due::Accept);
+                self.accept_failed(role, &error);
                 None
             }
         }
     }
 
+    /// Takes the next connection of a role's listener; `Err(())` if there is no such listener.
+    fn accept_raw(&mut self, role: Role) -> io::Result<Result<Option<ConnKey>, ()>> {
+        let listener = match role {
+            Role::Thrift => self.listener.as_ref(),
+            Role::Admin => self.door.as_ref().map(|door| &door.listener),
+            _ => self.links.as_ref().and_then(|links| links.listener.as_ref()),
+        };
+        let Some(listener) = listener else { return Ok(Err(())) };
+        self.net.accept(self.now, listener, role).map(Ok)
+    }
+
     /// Does what the core wants, and tells it what came of it, until both are quiet.
     fn pump(&mut self) {
         loop {
@@ -589,7 +608,12 @@
         for ask in asks {
             match ask {
                 thrift::Ask::Invoke { conn, seqid, fields, body } => {
-                    if self.thrift.is_open(conn, seqid) {
+                    let class = words::class(&fields, &self.names);
+                    if let Some(refused) = self.refused_call(conn, class) {
+                        let asks =
+                            self.thrift.answer(self.now, conn, seqid, refused, &mut self.net, &mut self.due);
+                        self.asked(asks);
+                    } else if self.thrift.is_open(conn, seqid) {
                         let form = words::form(&fields, &self.names).and_then(|form| match &form {
                             _ if body.len() > thrift::MOST_BODY => Err("the body is too long".into()),
                             form if self.ids.contains(&form.trace) => Err("trace is another's".into()),
@@ -601,10 +625,13 @@
                 }
                 thrift::Ask::Over { conn, seqid, fields } => {
                     let class = words::class(&fields, &self.names);
-                    let refused = self.refuse(class);
+                    let refused = self.refused_call(conn, class).unwrap_or_else(|| self.refuse(class));
                     self.say(conn, seqid, refused);
                 }
                 thrift::Ask::Ping { conn, seqid } => {
+                    if !self.admitting.refusing.contains_key(&conn) {
+                        self.in_good_standing(conn);
+                    }
                     self.say(conn, seqid, Reply::Pong(self.takes_clients()));
                 }
                 thrift::Ask::Gone(number) => self.gone(number),
@@ -648,6 +675,7 @@
                 return self.asked(asks);
             }
         };
+        self.in_good_standing(conn);
         let words::Form { class, object, part, group, patience, trace, item, seen } = form;
         let patience = (patience - WAY).max(1);
         let ask = Ask { class, object, part, group, patience, expires: None };
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 
 /// Descriptors besides clients' and servers' connections: listeners, poll, signals, standard streams, feed.
-const OTHER_SOCKETS: usize = 24;
+pub(super) const OTHER_SOCKETS: usize = 24;
 /// Usual clients hold up to a third. This part of the rest is for more that connect: so many may say nothing before
 /// one has to go for the next.
 const NEWCOMERS: usize = 4;
@@ -74,6 +74,11 @@
 }
 
 impl Started {
+    /// Whether refusals may tell clients when to come back.
+    pub fn retry_after(&self) -> bool {
+        self.settings.settings.limits.retry_after
+    }
+
     pub fn of(config: &Config) -> Self {
         let (name, keys, settings) = (config.name.clone(), config.keys.clone(), config.settings.clone());
         Started { name, listen: config.listen, keys, limits: config.limits, settings }
@@ -104,6 +109,7 @@
 
     /// All that can fail comes first, so that nothing is taken over in part.
     fn take_over(&mut self) -> Result<(), ServerError> {
+        let admission = self.files.admission()?;
         let (config, signed) = self.files.read()?;
         let unusable = |text: String| ConfigError::form(&self.files.config, text);
         if let Some(key) = self.started.keys.difference(&config.keys).next() {
@@ -116,6 +122,7 @@
         let waits = moved || (&name, listen) != (&self.started.name, self.started.listen);
         let (name, listen) = (self.started.name.clone(), self.started.listen);
         self.core.reconfigure(settings.settings.clone());
+        self.admitting.reconfigure(admission);
         self.names = settings.names.clone();
         self.started = Started { name, listen, keys, limits, settings };
         self.share();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The program on real sockets: one test for each rule, with clients and servers written here.
 
+mod admission;
 mod links;
 mod operators;
 mod platform;
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -263,6 +263,11 @@
         }
     }
 
+    /// The log lines that came and nobody looked at.
+    pub fn rest_of_log(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
     pub fn connect(&self, addr: SocketAddr) -> TcpStream {
         let stream = TcpStream::connect(addr).expect("a connection");
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
