--- a/src/lab/flood.rs
+++ b/src/lab/flood.rs
@@ -30,6 +30,8 @@
     pub most_connections: u64,
     /// The route (class) of the requests that known clients send.
     pub route: String,
+    /// Whether each flood connection pings once, so that it cannot be told from a client by having asked.
+    pub flood_asks: bool,
 }
 
 /// What came of it.
@@ -142,7 +144,11 @@
         counts[1] += (before - held.len()) as u64;
         if held.len() < plan.flood {
             match connect(plan.flood_from, plan.target, Duration::from_millis(200)) {
-                Ok(stream) if stream.set_nonblocking(true).is_ok() => {
+                Ok(mut stream) if stream.set_nonblocking(true).is_ok() => {
+                    if plan.flood_asks {
+                        let _ = send(&mut stream, &ping(1));
+                        // Its answer is left unread: it comes back in the peek as bytes, and the connection stays.
+                    }
                     held.push(stream);
                     counts[0] += 1;
                 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -79,6 +79,9 @@
         /// The class of known clients' requests
         #[arg(long, default_value = "piece")]
         route: String,
+        /// Each flood connection pings once, so that having asked does not tell it from a client
+        #[arg(long)]
+        flood_asks: bool,
     },
     /// Print the version
     Version,
@@ -202,7 +205,7 @@
             let grant = Grant { binding, exp: expires, nbf: not_before, iss: issuer };
             print(&Gate::new(&Signed::read(&signed)?).sign_token(&key, &grant)?);
         }
-        Command::Flood { target, known, known_from, flood, flood_from, seconds, route } => {
+        Command::Flood { target, known, known_from, flood, flood_from, seconds, route, flood_asks } => {
             let loopback = [target.ip(), known_from, flood_from].iter().all(std::net::IpAddr::is_loopback);
             if !loopback {
                 return Err(Error::Flood("only loopback addresses are flooded".into()));
@@ -217,6 +220,7 @@
                 seconds,
                 most_connections: 100_000,
                 route,
+                flood_asks,
             };
             print(&flood::run(&plan).map_err(|error| Error::Flood(error.to_string()))?);
         }
--- a/src/server/admit.rs
+++ b/src/server/admit.rs
@@ -16,6 +16,9 @@
 /// Descriptors besides connections, as the budget counts them.
 use super::reload::OTHER_SOCKETS;
 
+/// At most one line a refusal is logged this often, us; the others are counted in it and in `/stats`.
+const REFUSALS_LOGGED: Micros = 1_000_000;
+
 /// What the server holds for admission.
 pub(super) struct Admitting {
     pub admission: Admission,
@@ -25,6 +28,8 @@
     spare: Option<std::fs::File>,
     /// Descriptors that are no connection (listeners, poll, signals, standard streams), as counted once.
     others: Option<usize>,
+    /// When a refusal was last logged, and how many were not since: a flood makes one line a second, not one a try.
+    logged: (Micros, u64),
 }
 
 impl Admitting {
@@ -34,6 +39,7 @@
             refusing: HashMap::new(),
             spare: None,
             others: None,
+            logged: (Micros::MIN / 2, 0),
         };
         admitting.keep_spare();
         admitting
@@ -94,7 +100,17 @@
         };
         let Verdict::Refuse { why, pause } = verdict else { return true };
         let pause = if self.started.retry_after() { pause } else { 0 };
-        info!("conn={conn} refused: {} from {address}", why.code());
+        let (last, quiet) = &mut self.admitting.logged;
+        if self.now - *last >= REFUSALS_LOGGED {
+            let more = std::mem::take(quiet);
+            info!(
+                "conn={conn} refused: {} from {address} ({more} more since the last such line)",
+                why.code()
+            );
+            *last = self.now;
+        } else {
+            *quiet += 1;
+        }
         if !self.admitting.admission.answers_refusal(self.admitting.refusing.len(), free) {
             // Nothing was read: for its client the connection never ran.
             self.net.close(self.now, conn, Reason::Refused);
