Test that the newer process knows the addresses of connections handed to it

Change: a socket test with 64 descriptors and nine tenths kept for known addresses: two clients in good standing are handed to the newer process, whose reserve then refuses a stranger but takes a third connection from their address.

--- a/tests/sockets/admission.rs
+++ b/tests/sockets/admission.rs
@@ -168,3 +168,31 @@
     let mut later = Client::new(&proxy);
     assert!(later.ping(1), "once descriptors are back, connections are taken again");
 }
+
+#[test]
+fn at_an_upgrade_the_newer_process_knows_the_addresses_of_the_connections_it_is_handed() {
+    let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+    // 64 descriptors leave 25 for clients; nine tenths of them are kept for known addresses.
+    let hcl = "admission {\n reserve_known = 0.9\n rate_per_s = 0\n}\n";
+    let path = folder("admission-upgrade").join("admission.hcl");
+    std::fs::write(&path, hcl).expect("a file");
+    let more = ["--admission", path.to_str().expect("a path")];
+    let few = |config: &str| config.replace("\"sockets\":1024", "\"sockets\":64");
+    let old = Proxy::start("admission-upgrade", &[&cache, &parent], few, &more);
+    let mut players: Vec<Client> = (0..2).map(|_| Client(from("127.0.0.7", old.addr))).collect();
+    assert!(players.iter_mut().all(|player| player.ping(1)));
+    let new = old.newer(&more);
+    old.logged("a newer process takes over");
+    old.signal("-TERM");
+    old.logged("clients are left to the newer process");
+    assert!(players.iter_mut().all(|player| player.ping(2)), "handed on, they go on");
+    let mut old = old;
+    assert!(old.child.wait().expect("an end").success());
+    new.logged("the older process has ended");
+    // The newer process took the two in good standing: their address is known there, a stranger's is not.
+    let mut stranger = Client(from("127.0.0.8", new.addr));
+    stranger.send(&request(1, "replay"));
+    assert_eq!(stranger.reply(), (1, Reply::Refused { pause: true }));
+    let mut third = Client(from("127.0.0.7", new.addr));
+    assert!(served_read(&mut third, &[&cache, &parent], 1), "an address known from the older process");
+}
