Ping on a refused connection before its request in the flood socket test

Measured: passes; with end_refused ending after a ping alone it fails (the request meets the end of the connection).

--- a/tests/sockets/admission.rs
+++ b/tests/sockets/admission.rs
@@ -56,10 +56,12 @@
     // A flood from another address of connections that say nothing: four are taken, the rest refused.
     let flood: Vec<TcpStream> = (0..40).map(|_| from("127.0.0.3", proxy.addr)).collect();
     let mut refused = Client(from("127.0.0.3", proxy.addr));
-    refused.send(&request(1, "replay"));
+    // A ping is answered there as anywhere, and the connection stays for the request that follows.
+    assert!(refused.ping(1));
+    refused.send(&request(2, "replay"));
     assert_eq!(
         refused.reply(),
-        (1, Reply::Refused { pause: true }),
+        (2, Reply::Refused { pause: true }),
         "a refusal with a pause, never a silent reset"
     );
     assert!(refused.is_closed(), "then its end");
