Test that a link refused by admission gets one 503 with Retry-After, then its end

Need: each rule gets one real-socket test; the second front's refusal by admission had none (only the Thrift front's).

Change: links.rs gains site_full, which passes further arguments to the program, and a test with per_address = 1: a second connection from the same address reads one 503 with Retry-After 2 (1.5 s rounded up) and Connection: close, then the end.

--- a/tests/sockets/links.rs
+++ b/tests/sockets/links.rs
@@ -48,13 +48,17 @@
 }
 
 fn site_with(name: &str, operator: &str, change: impl Fn(&str) -> String) -> Site {
+    site_full(name, operator, change, &[])
+}
+
+fn site_full(name: &str, operator: &str, change: impl Fn(&str) -> String, extra: &[&str]) -> Site {
     let folder = folder(name);
     let file = folder.join("signed.toml");
     std::fs::write(&file, operator).expect("a file");
     std::fs::write(folder.join("links.secret"), "AAECAwQFBgcICQoLDA0ODw==\n").expect("a file");
     std::fs::write(folder.join("tables.secret"), "Dw4NDAsKCQgHBgUEAwIBAA\n").expect("a file");
     let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
-    let more = ["--signed", file.to_str().expect("a path")];
+    let more = [&["--signed", file.to_str().expect("a path")][..], extra].concat();
     let proxy = Proxy::start(name, &[&cache, &parent], change, &more);
     let addr = proxy.logged("links are served on ").parse().expect("an address");
     Site { cache, _parent: parent, proxy, addr, file }
@@ -467,3 +471,24 @@
     assert_eq!(client.answer().status, 403);
     assert_eq!(site.cache.rest(), Vec::<String>::new(), "no attempt for what it does not open");
 }
+
+#[test]
+fn a_link_that_admission_refuses_gets_one_503_with_retry_after_before_its_end() {
+    let path = folder("links-admission").join("admission.hcl");
+    std::fs::write(&path, "admission {\n per_address = 1\n rate_per_s = 0\n pause_ms = 1500\n}\n")
+        .expect("a file");
+    let site = site_full(
+        "links-admission",
+        OPERATOR,
+        str::to_owned,
+        &["--admission", path.to_str().expect("a path")],
+    );
+    let _held = TcpStream::connect(site.addr).expect("a connection");
+    let mut refused = TcpStream::connect(site.addr).expect("a connection");
+    refused.set_read_timeout(Some(LONG)).expect("a time-out");
+    let mut answer = String::new();
+    refused.read_to_string(&mut answer).expect("an answer, then the end");
+    assert!(answer.starts_with("HTTP/1.1 503 Service Unavailable\r\n"), "{answer}");
+    // 1.5 s, rounded up to whole seconds.
+    assert_eq!((field(&answer, "Retry-After"), field(&answer, "Connection")), (Some("2"), Some("close")));
+}
