Add deploy/admission.hcl, the operator's example file, kept equal to the defaults by a test

Change: deploy/admission.hcl with the main keys at their defaults (run does not use it); a unit test reads it and compares it with AdmissionSettings::default().

--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -241,3 +241,10 @@
     assert!(!admission.answers_refusal(2, Some(100)), "as many held as may be");
     assert!(!admission.answers_refusal(0, Some(8)), "half the reserve for table caches is left");
 }
+
+/// The operator's example file stays usable.
+#[test]
+fn the_deployed_example_reads() {
+    let example = AdmissionSettings::parse(include_str!("../../deploy/admission.hcl")).expect("usable");
+    assert_eq!(example, AdmissionSettings::default());
+}
