--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -255,8 +255,11 @@
 
     /// Waits for a log line that holds these words; gives what follows them.
     pub fn logged(&self, words: &str) -> String {
+        // Lines that keep coming (a feed that falls silent logs every 1.7 s) must not make the wait endless.
+        let since = std::time::Instant::now();
         loop {
-            let line = self.log.recv_timeout(LONG).unwrap_or_else(|_| panic!("no log line with {words:?}"));
+            let left = LONG.saturating_sub(since.elapsed());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no log line with {words:?}"));
             if let Some((_, rest)) = line.split_once(words) {
                 return rest.to_owned();
             }
