Let admission's refusal of a call share the server's refusal, and try the spare only after a close

Need: refused_call built Final::Refused, counted it for its class and worded it, as Server::refuse does beside it; and the spare descriptor was tried again on every turn of the loop, an open() call per turn during an episode of exhaustion, though only a close can free a descriptor.

Change: Server::refusal(class, pause) serves both refuse and refused_call; forget_closed returns at once when nothing closed. Behaviour is the same.

Measured: fmt, clippy -D warnings, all tests pass (65 unit, 54 socket).

--- a/src/server/admit.rs
+++ b/src/server/admit.rs
@@ -4,7 +4,6 @@
 
 use super::{Due, Server, ACCEPT_AGAIN};
 use crate::admission::{Admission, AdmissionSettings, Refusal, Room, Verdict};
-use crate::core::Final;
 use crate::deadlines::Schedule;
 use crate::front::thrift::codec::Reply;
 use crate::interface::{ClassId, Micros};
@@ -131,9 +130,7 @@
         let (pause, told) = self.admitting.refusing.get_mut(&conn)?;
         let pause = *pause;
         *told = true;
-        let refused = Final::Refused { pause, late: false };
-        class.into_iter().for_each(|class| self.core.count(class, &refused));
-        Some(crate::server::words::reply(refused))
+        Some(self.refusal(class, pause))
     }
 
     /// Ends a refused connection once a request there had its refusal and all is answered: not after a ping alone,
@@ -151,7 +148,11 @@
 
     /// Forgets connections that have ended, whichever way.
     pub(super) fn forget_closed(&mut self) {
-        for number in self.net.take_closed() {
+        let closed = self.net.take_closed();
+        if closed.is_empty() {
+            return; // no descriptor came free: the spare can't be had again now either
+        }
+        for number in closed {
             self.admitting.admission.closed(number);
             self.admitting.refusing.remove(&crate::slots::Key::from_number(number));
         }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -647,6 +647,11 @@
     /// A refusal that the core does not hear of.
     fn refuse(&mut self, class: Option<ClassId>) -> Reply {
         let pause = self.core.pause(class.unwrap_or(ClassId(0)));
+        self.refusal(class, pause)
+    }
+
+    /// A refusal with this pause (us), counted for its class.
+    fn refusal(&mut self, class: Option<ClassId>, pause: Micros) -> Reply {
         let refused = Final::Refused { pause, late: false };
         class.into_iter().for_each(|class| self.core.count(class, &refused));
         words::reply(refused)
