Add dahliatrack check: routing expectations asked of the decision module; log via tracing

Change: src/expect/ holds a configuration against expectations in HCL: site and selectors, language, exploration of a Router on a clock of its own (prepare, change, judge), verdicts with counter-examples and what is known of random choices, findings on the configuration. config::located reads HCL with line and column (hcl-edit keeps the spans that hcl-rs with serde drops; strsim, already in the tree by clap, suggests names). rayon explores in parallel. lab site makes up sites of any size. The logger is tracing with tracing-subscriber (connection ends are events with fields); its own error report is off, since it panics on a closed stderr. Members moved from server to a module of its own, used by both.

The closed-stderr test fails with the subscriber's error report on.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! What the edge proxy is told at its start: the platform's PROXY_CONFIG, and the settings in it.
 
 pub mod events;
+pub mod located;
 pub mod settings;
 pub mod signed;
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,8 +7,8 @@
 use crate::slots::{Key, Slots};
 use crate::{Router, SettingsError};
 use bytes::Bytes;
-use log::debug;
 use std::collections::{BTreeMap, VecDeque};
+use tracing::debug;
 
 /// A request of the core's table.
 pub type RequestKey = Key;
--- /dev/null
+++ b/src/expect/report.rs
@@ -0,0 +1,71 @@
+//! What a check came to, for people as lines and for machines as JSON.
+
+use super::judge::{Choices, Verdict};
+use super::lint::{Finding, Severity};
+use serde::Serialize;
+use std::fmt;
+
+/// What a check came to; serialized it is the JSON output.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The file of expectations.
+    pub file: String,
+    /// Whether every expectation holds and nothing found is an error.
+    pub passed: bool,
+    /// What is wrong whatever is expected.
+    pub findings: Vec<Finding>,
+    /// The expectations, in the file's order.
+    pub verdicts: Vec<Verdict>,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let severity = match self.severity {
+            Severity::Warning => "warning",
+            Severity::Error => "error",
+        };
+        write!(f, "{severity} [{}] {}", self.code, self.text)
+    }
+}
+
+impl fmt::Display for Choices {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Choices::Fixed => write!(f, "no random choice made a difference"),
+            Choices::Bounded { eligible } => {
+                write!(f, "random choices bounded: it holds for each of up to {eligible} ready caches")
+            }
+            Choices::Explored { seeds: [first, last], seen, eligible } => write!(
+                f,
+                "random choices explored by seeds {first} to {last} only, which saw {seen} of {eligible} ready caches"
+            ),
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for finding in &self.findings {
+            writeln!(f, "{finding}")?;
+        }
+        for verdict in &self.verdicts {
+            let [scenarios, points, classes, seeds] = verdict.asked;
+            let word = if verdict.passed { "passed" } else { "FAILED" };
+            writeln!(f, "{word} {:?} ({}:{})", verdict.name, self.file, verdict.line)?;
+            for broken in &verdict.broken {
+                let [line, column] = broken.at;
+                writeln!(f, "  {} at {}:{line}:{column}: {}", broken.rule, self.file, broken.reason)?;
+                writeln!(f, "    shown by --seed {} --seeds 1 --only {:?}", broken.seed, verdict.name)?;
+            }
+            writeln!(
+                f,
+                "  {scenarios} scenarios, {points} points, {classes} classes, {seeds} seeds, {} decisions; {}",
+                verdict.decisions, verdict.choices
+            )?;
+        }
+        let failed = self.verdicts.iter().filter(|verdict| !verdict.passed).count();
+        let errors = self.findings.iter().filter(|finding| finding.severity == Severity::Error).count();
+        let passed = self.verdicts.len() - failed;
+        write!(f, "{passed} expectations passed, {failed} failed; {errors} errors in the configuration")
+    }
+}
--- /dev/null
+++ b/src/expect/tests.rs
@@ -0,0 +1,292 @@
+use super::explore::{at_point, explore, Asked};
+use super::judge::{Choices, Verdict};
+use super::language::Scenario;
+use super::lint::Finding;
+use super::*;
+use crate::interface::{ClassId, ObjectId, ServerId, ZoneId};
+use crate::lab::site::{config, Shape};
+use serde_json::Value;
+
+/// Three points with four caches each, two hubs with two parents each, the origin.
+fn text() -> Value {
+    config(&Shape::default(), "127.0.0.1:1", |n| format!("127.0.0.1:{}", 2 + n))
+}
+
+fn site_of(text: &Value) -> Site {
+    Site::of(&Config::parse(text.to_string().as_bytes()).expect("usable"))
+}
+
+fn check_text(site: &Site, text: &str) -> Result<Report, String> {
+    let suite = parse(Doc { file: "e.hcl", text }, site);
+    let suite = suite.map_err(|errors| ExpectError::Expectations(errors).to_string())?;
+    Ok(check_site(site, &suite, "e.hcl").expect("a router starts"))
+}
+
+fn one(site: &Site, text: &str) -> Verdict {
+    let report = check_text(site, text).expect("usable expectations");
+    let [verdict] = &report.verdicts[..] else { panic!("{} verdicts", report.verdicts.len()) };
+    verdict.clone()
+}
+
+/// An object's home at a point and the cache that is next, as the module shows them.
+fn homes(site: &Site, object: ObjectId) -> [ServerId; 2] {
+    let mut found = Vec::new();
+    let mut scenario = Scenario::default();
+    for _ in 0..2 {
+        let asked = Asked { point: ZoneId(0), class: ClassId(0), objects: &[object], repeats: 1, seed: 1 };
+        let trace = explore(site, &scenario, asked).expect("a router starts");
+        let home = trace.judged().next().expect("a decision").server;
+        scenario.drained.push(home);
+        found.push(home);
+    }
+    [found[0], found[1]]
+}
+
+const OBJECT: ObjectId = ObjectId(0x7f3a_9c21_e0b4_d655);
+
+#[test]
+fn what_fails_only_once_a_cache_drains_is_found_and_named() {
+    let site = site_of(&text());
+    let [home, next] = homes(&site, OBJECT).map(|server| site.name(server).to_owned());
+    let body = format!("class = \"piece\"\n objects = [\"7f3a9c21e0b4d655\"]\n from_point = \"north\"\n goes_to = [\"{home}\"]");
+    assert!(one(&site, &format!("expect \"e\" {{\n {body}\n}}")).passed);
+    let verdict = one(&site, &format!("expect \"e\" {{\n {body}\n when {{ each_drained = \"cache\" }}\n}}"));
+    let [broken] = &verdict.broken[..] else { panic!("{verdict:?}") };
+    assert_eq!((broken.rule, broken.at, broken.server.as_deref()), ("goes_to", [5, 12], Some(next.as_str())));
+    let start = format!(
+        "piece 7f3a9c21e0b4d655 at point north, when drained {home}: it goes to {next} (cache:north)"
+    );
+    assert!(broken.reason.starts_with(&start), "{}", broken.reason);
+    assert_eq!(verdict.choices, Choices::Fixed);
+}
+
+#[test]
+fn what_hangs_on_a_random_choice_fails_with_its_seed_and_alike_each_time() {
+    let site = site_of(&text());
+    let [_, next] = homes(&site, OBJECT).map(|server| site.name(server).to_owned());
+    let text = |rule: &str, seeds: u64| {
+        format!(
+            "explore {{\n seeds = {seeds}\n}}\nexpect \"e\" {{\n class = \"piece\"\n objects = [\"7f3a9c21e0b4d655\"]\n \
+             from_point = \"north\"\n popular = true\n {rule}\n}}"
+        )
+    };
+    // The next cache becomes a delegate by some seeds only.
+    let never = format!("never_goes_to = [\"{next}\"]");
+    let failed = one(&site, &text(&never, 16));
+    let [broken] = &failed.broken[..] else { panic!("{failed:?}") };
+    assert_eq!(broken.server.as_deref(), Some(next.as_str()));
+    assert_eq!(format!("{failed:?}"), format!("{:?}", one(&site, &text(&never, 16))));
+    let one_seed = text(&never, 1).replace("explore {", &format!("explore {{\n seed = {}", broken.seed));
+    assert!(!one(&site, &one_seed).passed, "the seed named shows it");
+    // A verdict says whether other choices could come out otherwise.
+    let home_too = one(&site, &text("caches_at_most = 3", 8));
+    assert!(home_too.passed);
+    assert!(matches!(home_too.choices, Choices::Explored { seeds: [1, 8], eligible: 4, .. }), "{home_too:?}");
+    let any = one(&site, &text("goes_to = \"own-cache\"", 8));
+    assert!(any.passed);
+    assert_eq!(any.choices, Choices::Bounded { eligible: 4 });
+}
+
+#[test]
+fn what_cannot_be_meant_is_an_error_with_its_place() {
+    let site = site_of(&text());
+    let errors = |text: &str| check_text(&site, text).map(|report| report.passed);
+    let cases = [
+        (
+            "expect \"e\" {\n  class = \"peice\"\n  acyclic = true\n}",
+            "e.hcl:2:11: no class \"peice\"; did you mean \"piece\"?",
+        ),
+        ("expect \"e\" {\n  goes_to = [\"origin\", \"cache-7\"]\n}", "e.hcl:2:24: no server \"cache-7\"; "),
+        (
+            "expect \"e\" {\n  never_goes_to = \"hub:north\"\n}",
+            "e.hcl:2:19: hub:north names no server of the list",
+        ),
+        (
+            "expect \"e\" {\n  from_point = \"castle\"\n  acyclic = true\n}",
+            "e.hcl:2:16: \"castle\" is no point: it has no edge proxies",
+        ),
+        (
+            "expect \"e\" {\n  goes_to = \"cache:nroth\"\n}",
+            "e.hcl:2:13: no zone \"nroth\"; did you mean \"north\"?",
+        ),
+        ("expect \"e\" {\n  class = \"piece\"\n}", "e.hcl:1:1: expectation \"e\" expects nothing"),
+        ("expect \"e\" {\n  acyclic = true\n  when { }\n}", "e.hcl:3:3: in this when block nothing happens"),
+        (
+            "expect \"e\" {\n  acyclic = true\n  when { late = true }\n}",
+            "e.hcl:3:3: in this when block nothing happens",
+        ),
+        (
+            "expect \"e\" {\n  rank_at_most = 4\n}",
+            "e.hcl:2:18: rank_at_most wants a whole number from 0 to 3",
+        ),
+        ("expect \"e\" {\n  answer = \"maybe\"\n}", "e.hcl:2:12: answer is served, refused or failed"),
+        (
+            "expect \"e\" {\n  objects = [\"7f\"]\n  acyclic = true\n}",
+            "e.hcl:2:14: \"7f\" is not 16 hex digits",
+        ),
+        (
+            "expect \"e\" {\n  acyclic = true\n  when {\n    drained = \"own-cache\"\n  }\n}",
+            "e.hcl:4:15: own-cache and own-hub depend",
+        ),
+        (
+            "expect \"e\" {\n  acyclic = true\n}\nexpect \"e\" {\n  acyclic = true\n}",
+            "e.hcl:4:1: expectation \"e\" comes twice",
+        ),
+        ("expect {\n  acyclic = true\n}", "e.hcl:1:1: an expectation has one name"),
+        ("explore {\n  seeds = 0\n}", "e.hcl:2:11: seeds wants a whole number from 1 to 1000"),
+        ("", "e.hcl:1:1: no expect block"),
+        ("expect \"e\" {\n  goes_to = origin\n}", "e.hcl:2:13: goes_to wants a text, or a list of texts"),
+        ("expect \"e\" {\n  acyclic = true\n  colour = 1\n}", "e.hcl:3:3: no key \"colour\"; there are "),
+    ];
+    for (text, wanted) in cases {
+        let error = errors(text).expect_err(text);
+        assert!(error.starts_with(wanted), "{text:?}: {error:?}, not {wanted:?}");
+    }
+    // All of a file's errors are told at once, in its order.
+    let two =
+        errors("expect \"a\" {\n class = \"x\"\n acyclic = true\n}\nexpect \"b\" {\n goes_to = \"y\"\n}")
+            .expect_err("two");
+    assert_eq!(two.lines().count(), 2, "{two}");
+}
+
+/// Sets a host's field in a configuration's list.
+fn set(text: &mut Value, fits: impl Fn(&Value) -> bool, key: &str, value: Value) {
+    let hosts = text["known"]["events"][0]["members"]["hosts"].as_array_mut().expect("a list");
+    hosts.iter_mut().filter(|host| fits(host)).for_each(|host| host[key] = value.clone());
+}
+
+#[test]
+fn a_class_that_fills_through_a_drained_hub_is_rejected() {
+    let mut text = text();
+    let good = site_of(&text);
+    assert_eq!(lint(&good), Vec::<Finding>::new());
+    set(&mut text, |host| host["site"] == "castle" && host["class"] == "hub", "health", "draining".into());
+    let site = site_of(&text);
+    let report =
+        check_text(&site, "expect \"e\" {\n class = \"piece\"\n answer = \"served\"\n}").expect("usable");
+    assert!(report.verdicts[0].passed && !report.passed);
+    let [finding] = &report.findings[..] else { panic!("{:?}", report.findings) };
+    assert_eq!((finding.severity, finding.code), (Severity::Error, "hub-unready"));
+    let start = "classes piece, replay, standing of point south fill through hub castle, which has no ready parent (s-";
+    assert!(finding.text.starts_with(start) && finding.text.contains("is draining"), "{}", finding.text);
+    // The same as an expectation of the operator's.
+    let fills =
+        "expect \"e\" {\n class = \"piece\"\n from_point = \"south\"\n fills_from = \"hub:castle\"\n}";
+    assert!(one(&good, fills).passed);
+    assert!(one(&site, fills).broken[0].reason.contains("is filled from"), "the farther hub");
+}
+
+#[test]
+fn lists_and_classes_that_contradict_themselves_are_found() {
+    type Break = fn(&mut Value);
+    let cases: [(&str, Break); 7] = [
+        ("point-unserved", |t| {
+            t["settings"]["domain"]["straight"] = false.into();
+            set(t, |h| h["site"] == "east", "health", "removed".into());
+        }),
+        ("point-direct", |t| set(t, |h| h["site"] == "east", "health", "draining".into())),
+        ("list-odd", |t| set(t, |h| h["site"] == "east", "dial", "127.0.0.1:2".into())),
+        ("list-odd", |t| set(t, |h| h["site"] == "east", "class", "stdd".into())),
+        ("weight-zero", |t| set(t, |h| h["site"] == "east", "share", 0.into())),
+        ("target-past-deadline", |t| t["settings"]["grades"][0]["target"] = 9999.into()),
+        ("no-source", |t| set(t, |h| h["class"] != "std", "health", "draining".into())),
+    ];
+    for (code, change) in cases {
+        let mut text = text();
+        change(&mut text);
+        let findings = lint(&site_of(&text));
+        assert!(findings.iter().any(|finding| finding.code == code), "{code}: {findings:?}");
+    }
+}
+
+#[test]
+fn two_views_that_together_fill_in_a_circle_are_rejected() {
+    let site = site_of(&text());
+    let [home, _] = homes(&site, OBJECT);
+    // Part of the edge proxies know that the home shrinks to next to nothing: the next cache is home for them, and
+    // the old home a delegate that fills there, while for the others the next cache is the delegate.
+    let text = |late: bool| {
+        format!(
+            "explore {{\n seeds = 16\n}}\nexpect \"e\" {{\n class = \"piece\"\n objects = [\"7f3a9c21e0b4d655\"]\n \
+             from_point = \"north\"\n popular = true\n acyclic = true\n when {{\n reweighted = {{ \"{}\" = 0.01 }}\n late = {late}\n }}\n}}",
+            site.name(home)
+        )
+    };
+    assert!(one(&site, &text(false)).passed, "each view alone has no circle");
+    let verdict = one(&site, &text(true));
+    let [broken] = &verdict.broken[..] else { panic!("{verdict:?}") };
+    assert!(broken.reason.contains("its fills go in a circle: "), "{}", broken.reason);
+    assert!(broken.reason.matches(site.name(home)).count() >= 2 && broken.object.is_some());
+}
+
+#[test]
+fn drained_caches_get_nothing_though_delegates_stood_there() {
+    let site = site_of(&text());
+    let [_, next] = homes(&site, OBJECT).map(|server| site.name(server).to_owned());
+    let text = |when: &str| {
+        format!(
+            "explore {{\n seeds = 16\n}}\nexpect \"e\" {{\n class = \"piece\"\n objects = [\"7f3a9c21e0b4d655\"]\n \
+             from_point = \"north\"\n popular = true\n never_goes_to = [\"{next}\"]\n answer = \"served\"\n {when}\n}}"
+        )
+    };
+    assert!(!one(&site, &text("")).passed);
+    for state in ["drained", "removed"] {
+        assert!(one(&site, &text(&format!("when {{ {state} = [\"{next}\"] }}"))).passed, "{state}");
+    }
+    // Nobody told that it is down: it is tried, and the request served elsewhere.
+    let down = one(&site, &text(&format!("when {{ down = [\"{next}\"] }}")));
+    assert_eq!(down.broken.iter().map(|broken| broken.rule).collect::<Vec<_>>(), ["never_goes_to"]);
+}
+
+#[test]
+fn results_run_at_the_origin_whatever_carries_them() {
+    let site = site_of(&text());
+    let check = |rule: &str| {
+        one(&site, &format!("expect \"result direct\" {{\n class = \"result\"\n {rule}\n}}")).passed
+    };
+    assert!(check("goes_to = \"origin\"") && check("rank_at_most = 0") && check("attempts_at_most = 1"));
+    assert!(!check("never_goes_to = \"own-cache\""));
+    assert!(
+        !one(&site, "expect \"e\" {\n class = \"piece\"\n goes_to = \"origin\"\n}").passed,
+        "a copy may answer"
+    );
+}
+
+#[test]
+fn homes_stay_where_they_are_when_another_cache_goes() {
+    let site = site_of(&text());
+    let moves =
+        "expect \"e\" {\n class = \"replay\"\n moves_at_most = 0\n when { each_removed = \"cache\" }\n}";
+    assert!(one(&site, moves).passed);
+    let share = |most: f64| {
+        format!("expect \"e\" {{\n class = \"piece\"\n from_point = \"north\"\n share_at_most = {most}\n}}")
+    };
+    assert!(one(&site, &share(0.9)).passed);
+    assert!(one(&site, &share(0.2)).broken[0].reason.contains("of 32 objects"));
+}
+
+/// What happens at other points is left out before the module is asked; the module must not tell the difference.
+#[test]
+fn a_scenario_at_another_point_changes_no_decision_here() {
+    let site = site_of(&text());
+    let point = ZoneId(0);
+    let objects = [OBJECT, ObjectId(1), ObjectId(2)];
+    let elsewhere: Vec<ServerId> =
+        site.servers.values().filter(|m| site.is_cache(m) && m.zone != point).map(|m| m.server).collect();
+    let here = site.servers.values().find(|m| m.zone == point).expect("a cache").server;
+    for seed in 0..20 {
+        let pick = |n: usize| elsewhere[(seed as usize * 3 + n) % elsewhere.len()];
+        let scenario = Scenario {
+            drained: vec![pick(0), here],
+            removed: vec![pick(1)],
+            down: vec![pick(2)],
+            cold: vec![pick(3)],
+            reweighted: vec![(pick(4), 0.5)],
+            ..Scenario::default()
+        };
+        let short = at_point(&site, &scenario, point);
+        assert_eq!((short.drained.as_slice(), short.is_calm()), (&[here][..], false));
+        let asked = Asked { point, class: ClassId(0), objects: &objects, repeats: 12, seed };
+        assert_eq!(explore(&site, &scenario, asked), explore(&site, &short, asked), "seed {seed}");
+    }
+}
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -5,8 +5,8 @@
 use crate::config::events::Batch;
 use crate::deadlines::{Handle, Schedule};
 use crate::net::{ConnKey, Net, Reason, Role};
-use log::warn;
 use std::net::SocketAddr;
+use tracing::warn;
 
 /// How long the control feed may hold an answer back, ms. Short: one that stops telling while its connection
 /// stays open is found out only once the wait that was asked for is over.
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -11,8 +11,8 @@
 use crate::net::{ConnKey, Net, Reason};
 use gate::{Denial, Gate};
 use http::{Answer, Bad, Head};
-use log::info;
 use std::collections::{HashMap, VecDeque};
+use tracing::info;
 
 /// Requests that may be open on one connection; more are read once these are answered.
 const MOST_OPEN: usize = 16;
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -7,8 +7,8 @@
 use crate::net::{ConnKey, Net, Reason};
 use bytes::{Buf, Bytes, BytesMut};
 use codec::{Method, Reply, PREFIX};
-use log::{info, warn};
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use tracing::{info, warn};
 
 /// Requests that may be open on one connection.
 pub const MOST_OPEN: usize = 32;
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -2,4 +2,5 @@
 //! loopback. Nothing here is on the data path.
 
 pub mod flood;
+pub mod site;
 pub mod thrift_client;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,32 +1,45 @@
-//! A small logger: one line each on standard error, with the Unix time in milliseconds.
+//! The log: structured events of `tracing`, one line each on standard error, as text or as JSON.
+//!
+//! Text: `MILLISECONDS LEVEL MODULE: TEXT FIELD=VALUE...`, JSON: one object a line with `timestamp` (Unix time in
+//! milliseconds), `level`, `target` and the event's `fields`.
 
-use log::{LevelFilter, Log, Metadata, Record};
-use std::io::Write;
+use clap::ValueEnum;
+use std::fmt;
 use std::time::{SystemTime, UNIX_EPOCH};
+use tracing::level_filters::LevelFilter;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::time::FormatTime;
 
-struct Logger;
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum LogFormat {
+    /// A line of words an event
+    Text,
+    /// A JSON object an event
+    Json,
+}
 
-impl Log for Logger {
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.level() <= log::max_level()
-    }
+/// The Unix time in milliseconds.
+struct UnixMillis;
 
-    fn log(&self, record: &Record) {
-        if !self.enabled(record.metadata()) {
-            return;
-        }
+impl FormatTime for UnixMillis {
+    fn format_time(&self, w: &mut Writer<'_>) -> fmt::Result {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis());
-        let line = format!("{now} {} {} {}\n", record.level(), record.target(), record.args());
-        // A log that can't be written is no reason to stop serving.
-        let _ = std::io::stderr().lock().write_all(line.as_bytes());
+        write!(w, "{now}")
     }
-
-    fn flush(&self) {}
 }
 
-/// Starts to log.
-pub fn start(level: LevelFilter) {
-    if log::set_logger(&Logger).is_ok() {
-        log::set_max_level(level);
-    }
+/// Starts to log; a second start does nothing. A log that can't be written is no reason to stop serving, so
+/// errors of the writer are passed over (the subscriber's own report of them would panic on a broken pipe).
+pub fn start(level: LevelFilter, format: LogFormat) {
+    let builder = tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_timer(UnixMillis)
+        .with_ansi(false)
+        .log_internal_errors(false)
+        .with_writer(std::io::stderr);
+    let _ = match format {
+        LogFormat::Text => builder.try_init(),
+        LogFormat::Json => builder.json().try_init(),
+    };
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,16 +2,21 @@
 
 mod logger;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use dahliatrack::config::signed::Signed;
-use dahliatrack::config::{ConfigError, Files};
+use dahliatrack::config::{Config, ConfigError, Files};
+use dahliatrack::expect::lint::{lint, points, Severity};
+use dahliatrack::expect::site::Site;
+use dahliatrack::expect::{self, ExpectError, Overrides};
 use dahliatrack::front::signed::gate::{Binding, Gate, Grant, SignError};
 use dahliatrack::lab::flood::{self, Plan};
+use dahliatrack::lab::site::{self, Shape};
 use dahliatrack::server::{route_classes, Server, ServerError};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing::level_filters::LevelFilter;
 
 /// A real edge proxy for a two-tier cache.
 #[derive(Parser)]
@@ -39,19 +44,41 @@
         admission: Option<PathBuf>,
         /// The least important log lines to write
         #[arg(long, default_value = "info", value_parser = level)]
-        log: log::LevelFilter,
+        log: LevelFilter,
+        /// How log lines are written
+        #[arg(long, value_enum, default_value = "text")]
+        log_format: logger::LogFormat,
     },
-    /// Read a configuration and say whether it can be used
+    /// Hold a configuration against routing expectations, asking the decision module itself; sends no traffic
+    Check {
+        /// The configuration
+        config: PathBuf,
+        /// The expectations (HCL)
+        #[arg(long)]
+        expect: PathBuf,
+        /// The first seed of the module's random choices, in place of the file's
+        #[arg(long)]
+        seed: Option<u64>,
+        /// How many seeds, in place of the file's
+        #[arg(long)]
+        seeds: Option<u64>,
+        /// Only the expectation of this name
+        #[arg(long)]
+        only: Option<String>,
+        /// How the verdicts are written
+        #[arg(long, value_enum, default_value = "text")]
+        format: Format,
+    },
+    /// Work on configurations
+    #[command(subcommand)]
+    Config(ConfigCommand),
+    /// Read a configuration and say whether it can be used, as `config validate` does, by its files alone
     CheckConfig {
         /// The configuration
         #[arg(long, env = "PROXY_CONFIG")]
         config: PathBuf,
-        /// The operator's file of the second front
-        #[arg(long, env = "PROXY_SIGNED")]
-        signed: Option<PathBuf>,
-        /// The operator's admission file
-        #[arg(long, env = "PROXY_ADMISSION")]
-        admission: Option<PathBuf>,
+        #[command(flatten)]
+        beside: Beside,
     },
     /// Issue a signed URL or a token of the second front
     #[command(subcommand)]
@@ -83,10 +110,69 @@
         #[arg(long)]
         flood_asks: bool,
     },
+    /// The project's own laboratory
+    #[command(subcommand)]
+    Lab(Lab),
     /// Print the version
     Version,
 }
 
+/// How results are written.
+#[derive(Clone, Copy, ValueEnum)]
+enum Format {
+    /// Lines for people
+    Text,
+    /// One JSON object
+    Json,
+}
+
+/// The operator's files beside a configuration.
+#[derive(clap::Args)]
+struct Beside {
+    /// The operator's file of the second front
+    #[arg(long, env = "PROXY_SIGNED")]
+    signed: Option<PathBuf>,
+    /// The operator's admission file
+    #[arg(long, env = "PROXY_ADMISSION")]
+    admission: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum ConfigCommand {
+    /// Say whether a configuration can be used, and what is wrong with its servers, points and classes
+    Validate {
+        /// The configuration
+        config: PathBuf,
+        #[command(flatten)]
+        beside: Beside,
+    },
+}
+
+#[derive(Subcommand)]
+enum Lab {
+    /// Print the configuration of a made-up site, to try the tools on
+    Site {
+        /// Points: zones with edge proxies and table caches
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=4000))]
+        points: u64,
+        /// Edge proxies in all
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+        proxies: u64,
+        /// Table caches in all
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(1..=50_000))]
+        caches: u64,
+        /// Hubs
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=1000))]
+        hubs: u64,
+        /// Parents of each hub
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(0..=100))]
+        parents: u64,
+        /// The seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+}
+
 /// What signing needs in any case.
 #[derive(clap::Args)]
 struct With {
@@ -136,7 +222,7 @@
     },
 }
 
-fn level(word: &str) -> Result<log::LevelFilter, String> {
+fn level(word: &str) -> Result<LevelFilter, String> {
     word.parse().map_err(|_| "one of off, error, warn, info, debug, trace".to_owned())
 }
 
@@ -152,6 +238,12 @@
     Server(#[from] ServerError),
     #[error(transparent)]
     Sign(#[from] SignError),
+    #[error(transparent)]
+    Expect(#[from] ExpectError),
+    #[error("{0} errors in the configuration")]
+    Findings(usize),
+    #[error("some expectations do not hold")]
+    Unmet,
     #[error("flood: {0}")]
     Flood(String),
 }
@@ -162,9 +254,9 @@
         Err(error) => {
             eprintln!("dahliatrack: {error}");
             let config = match &error {
-                Error::Config(_) => true,
+                Error::Config(_) | Error::Expect(_) | Error::Findings(_) => true,
                 Error::Server(error) => error.is_config(),
-                Error::Sign(_) | Error::Flood(_) => false,
+                Error::Sign(_) | Error::Flood(_) | Error::Unmet => false,
             };
             ExitCode::from(if config { BAD_CONFIG } else { 1 })
         }
@@ -173,21 +265,30 @@
 
 fn run(command: Command) -> Result<(), Error> {
     match command {
-        Command::Serve { config, signed, admin, admission, log } => {
-            logger::start(log);
+        Command::Serve { config, signed, admin, admission, log, log_format } => {
+            logger::start(log, log_format);
             Server::start(Files { config, signed, admin, admission })?.run()?;
         }
-        Command::CheckConfig { config, signed, admission } => {
-            let files = Files { config, signed, admin: None, admission };
-            let on = files.admission()?.enabled;
-            let (config, signed) = files.read()?;
-            let routes = signed.map(|signed| route_classes(&signed, &config.settings)).transpose()?;
-            print(&format!("{}: usable, {} events known", config.name, config.known.events.len()));
-            if let Some(routes) = routes {
-                print(&format!("second front: usable, {} routes", routes.len()));
+        Command::Check { config, expect, seed, seeds, only, format } => {
+            let report = expect::check(&config, &expect, &Overrides { seed, seeds, only })?;
+            match format {
+                Format::Text => print(&report),
+                Format::Json => print(&serde_json::json!(report)),
             }
-            if on {
-                print(&"admission: usable, on");
+            if !report.passed {
+                return Err(Error::Unmet);
+            }
+        }
+        Command::CheckConfig { config, beside } => usable(config, beside)?,
+        Command::Config(ConfigCommand::Validate { config, beside }) => {
+            usable(config.clone(), beside)?;
+            let site = Site::of(&Config::read(&config)?);
+            print(&format!("{} servers, points {}", site.servers.len(), points(&site)));
+            let findings = lint(&site);
+            findings.iter().for_each(|finding| print(finding));
+            let errors = findings.iter().filter(|finding| finding.severity == Severity::Error).count();
+            if errors > 0 {
+                return Err(Error::Findings(errors));
             }
         }
         Command::Sign(Sign::Url { with: With { signed, key, expires }, url }) => {
@@ -224,11 +325,35 @@
             };
             print(&flood::run(&plan).map_err(|error| Error::Flood(error.to_string()))?);
         }
+        Command::Lab(Lab::Site { points, proxies, caches, hubs, parents, seed }) => {
+            let [points, proxies, caches, hubs, parents] =
+                [points, proxies, caches, hubs, parents].map(|n| n as usize);
+            let shape = Shape { points, proxies, caches, hubs, parents, seed };
+            // No address is used by what reads this: they only have to differ.
+            let dial = |n: usize| format!("127.{}.{}.{}:4100", 1 + n / 62_500, n / 250 % 250, 1 + n % 250);
+            print(&site::config(&shape, "127.0.0.1:7070", dial));
+        }
         Command::Version => print(&format!("dahliatrack {}", env!("CARGO_PKG_VERSION"))),
     }
     Ok(())
 }
 
+/// Reads the files, and says what is in them.
+fn usable(config: PathBuf, Beside { signed, admission }: Beside) -> Result<(), Error> {
+    let files = Files { config, signed, admin: None, admission };
+    let on = files.admission()?.enabled;
+    let (config, signed) = files.read()?;
+    let routes = signed.map(|signed| route_classes(&signed, &config.settings)).transpose()?;
+    print(&format!("{}: usable, {} events known", config.name, config.known.events.len()));
+    if let Some(routes) = routes {
+        print(&format!("second front: usable, {} routes", routes.len()));
+    }
+    if on {
+        print(&"admission: usable, on");
+    }
+    Ok(())
+}
+
 fn print(line: &dyn Display) {
     println!("{line}");
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,7 +9,6 @@
 
 use crate::slots::{Key, Slots};
 use bytes::{Bytes, BytesMut};
-use log::info;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -17,6 +16,7 @@
 use std::io::{self, IoSlice, Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tracing::info;
 
 /// A connection of the table.
 pub type ConnKey = Key;
@@ -456,6 +456,6 @@
         self.held = self.held.saturating_sub(conn.input.len() + conn.out_bytes);
         let (role, peer, code, age) = (conn.role, &conn.peer, reason.code(), (now - conn.opened) / 1000);
         let (read, wrote) = (conn.read, conn.wrote);
-        info!("conn={key} role={role:?} peer={peer} end={code} age_ms={age} read={read} wrote={wrote}");
+        info!(conn = %key, ?role, %peer, end = %code, age_ms = age, read, wrote);
     }
 }
--- a/src/server/admit.rs
+++ b/src/server/admit.rs
@@ -8,9 +8,9 @@
 use crate::front::thrift::codec::Reply;
 use crate::interface::{ClassId, Micros};
 use crate::net::{ConnKey, Reason, Role};
-use log::{info, warn};
 use std::collections::HashMap;
 use std::io;
+use tracing::{info, warn};
 
 /// Descriptors besides connections, as the budget counts them.
 use super::reload::OTHER_SOCKETS;
--- a/src/server/handover.rs
+++ b/src/server/handover.rs
@@ -3,7 +3,6 @@
 //! the other how many clients' connections it holds, since they share one limit; and the older hands its connections on.
 
 use crate::net::Net;
-use log::{info, warn};
 use mio::net::{UnixListener, UnixStream};
 use rustix::net::{recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
@@ -13,6 +12,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
+use tracing::{info, warn};
 
 /// The numbers under which the loop watches what belongs to this.
 pub(super) const PLACE: usize = 4;
--- a/src/server/leave.rs
+++ b/src/server/leave.rs
@@ -6,7 +6,7 @@
 use crate::front::thrift::PAUSE;
 use crate::interface::Micros;
 use crate::net::{Ready, Role};
-use log::{info, warn};
+use tracing::{info, warn};
 
 /// After the signal to stop, new requests may come for 0.6 s: all of them are answered, us.
 const STOP_AFTER: Micros = 800_000;
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -5,7 +5,6 @@
 mod figures;
 mod handover;
 mod leave;
-mod members;
 mod reload;
 mod words;
 
@@ -21,14 +20,13 @@
 use crate::front::signed::{self, route::Place};
 use crate::front::thrift::{self, codec::Reply};
 use crate::interface::{ClassId, ListKind, Micros, ObjectId, Purge, ServerId, ServerState};
+use crate::members::Members;
 use crate::net::{Clock, ConnKey, Net, Ready, Reason, Role};
 use crate::slots::Key;
 use crate::upstream::{self, Happening, Upstream};
 use crate::{GroupId, SettingsError};
 use bytes::Bytes;
 use handover::{Handover, NEWER, OLDER, PLACE};
-use log::{info, warn};
-use members::Members;
 use mio::net::TcpListener;
 use reload::{Budget, Started};
 use signal_hook::consts::signal::{SIGHUP, SIGINT, SIGTERM};
@@ -37,6 +35,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tracing::{info, warn};
 
 /// The numbers under which the loop watches what is no connection.
 const LISTENER: usize = 0;
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -5,9 +5,9 @@
 use crate::config::settings::{Names, Parsed};
 use crate::config::{Config, ConfigError, Limits};
 use crate::upstream::Figures;
-use log::{info, warn};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use tracing::{info, warn};
 
 /// Descriptors besides clients' and servers' connections: listeners, poll, signals, standard streams, feed.
 pub(super) const OTHER_SOCKETS: usize = 24;
--- /dev/null
+++ b/tests/check.rs
@@ -0,0 +1,74 @@
+//! The command line of `check` and `config validate`: verdicts, exit codes, JSON.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_dahliatrack")).args(args).output().expect("the program starts")
+}
+
+fn words(bytes: &[u8]) -> &str {
+    std::str::from_utf8(bytes).expect("UTF-8")
+}
+
+/// A folder of this test's own with a made-up site in it.
+fn folder(name: &str) -> (PathBuf, String) {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let site = folder.join("site.json");
+    std::fs::write(&site, run(&["lab", "site", "--points", "2", "--caches", "6"]).stdout).expect("a file");
+    let site = site.display().to_string();
+    (folder, site)
+}
+
+#[test]
+fn verdicts_come_with_exit_codes_and_as_json() {
+    let (folder, site) = folder("verdicts");
+    let check = |text: &str, more: &[&str]| {
+        let file = folder.join("expect.hcl");
+        std::fs::write(&file, text).expect("a file");
+        run(&[&["check", &site, "--expect", &file.display().to_string()], more].concat())
+    };
+    let good = "expect \"direct\" {\n  class = \"result\"\n  goes_to = \"origin\"\n}\n";
+    let bad = "expect \"home\" {\n  class = \"piece\"\n  never_goes_to = \"own-cache\"\n}\n";
+    let passed = check(good, &[]);
+    assert_eq!(passed.status.code(), Some(0), "{}", words(&passed.stderr));
+    assert!(words(&passed.stdout).contains("passed \"direct\""));
+    let failed = check(&format!("{good}{bad}"), &["--format", "json"]);
+    assert_eq!(failed.status.code(), Some(1));
+    let json: serde_json::Value = serde_json::from_slice(&failed.stdout).expect("JSON");
+    assert_eq!((&json["passed"], &json["verdicts"][0]["passed"]), (&false.into(), &true.into()));
+    let broken = &json["verdicts"][1]["broken"][0];
+    assert_eq!(
+        (&broken["rule"], &broken["class"], &broken["at"][0]),
+        (&"never_goes_to".into(), &"piece".into(), &7.into())
+    );
+    let only = check(&format!("{good}{bad}"), &["--only", "direct"]);
+    assert_eq!(only.status.code(), Some(0));
+    let unusable = check("expect \"x\" {\n  class = \"peice\"\n  acyclic = true\n}\n", &[]);
+    assert_eq!(unusable.status.code(), Some(2));
+    assert!(
+        words(&unusable.stderr).contains("expect.hcl:2:11: no class \"peice\""),
+        "{}",
+        words(&unusable.stderr)
+    );
+    assert_eq!(check(good, &["--only", "nothing"]).status.code(), Some(2));
+}
+
+#[test]
+fn a_configuration_is_validated_with_its_list() {
+    let (folder, site) = folder("validate");
+    let good = run(&["config", "validate", &site]);
+    assert_eq!(
+        (good.status.code(), words(&good.stdout).lines().count()),
+        (Some(0), 2),
+        "{}",
+        words(&good.stdout)
+    );
+    let text = std::fs::read_to_string(&site).expect("a file");
+    let broken = folder.join("broken.json");
+    std::fs::write(&broken, text.replace("\"health\":\"up\"", "\"health\":\"draining\"")).expect("a file");
+    let broken = run(&["config", "validate", &broken.display().to_string()]);
+    assert_eq!(broken.status.code(), Some(2));
+    assert!(words(&broken.stdout).contains("error [no-source]"), "{}", words(&broken.stdout));
+}
--- a/tests/sockets/operators.rs
+++ b/tests/sockets/operators.rs
@@ -215,3 +215,29 @@
     cache.next().answer("200", "ver=a", b"ran");
     assert_eq!(client.reply(), (1, served(b"ran")));
 }
+
+/// The log as JSON: a line an event, the end of a connection with its reason as fields.
+#[test]
+fn the_log_comes_as_json_where_that_is_asked_for() {
+    let cache = Cache::new("s-00000001");
+    let proxy = Proxy::start("json-log", &[&cache], str::to_owned, &["--log-format", "json"]);
+    drop(Client(proxy.connect(proxy.addr)));
+    let rest = proxy.logged("\"role\":\"Thrift\"");
+    assert!(
+        rest.contains("\"end\":\"peer-closed\"") && rest.contains("\"target\":\"dahliatrack::net\""),
+        "{rest}"
+    );
+}
+
+/// A log that nobody takes any more is no reason to stop serving.
+#[test]
+fn a_log_that_cannot_be_written_ends_nothing() {
+    let cache = Cache::new("s-00000001");
+    let mut proxy = Proxy::start("mute-log", &[&cache], str::to_owned, &[]);
+    proxy.mute();
+    // Each connection's end is a log line; once the reader has seen that nobody listens, none can be written.
+    for n in 0..20 {
+        let mut client = Client(proxy.connect(proxy.addr));
+        assert!(client.ping(1), "connection {n} is answered");
+    }
+}
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -238,7 +238,8 @@
         let lines = BufReader::new(child.stderr.take().expect("piped"));
         thread::spawn(move || lines.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
         let mut proxy = Proxy { child, config, addr: "127.0.0.1:0".parse().expect("an address"), feed, log };
-        proxy.addr = proxy.logged("listens on ").parse().expect("an address");
+        let line = proxy.logged("listens on ");
+        proxy.addr = line.split('"').next().and_then(|addr| addr.parse().ok()).expect("an address");
         proxy
     }
 
@@ -266,6 +267,11 @@
         }
     }
 
+    /// Stops taking the log: at its next line the pipe is closed.
+    pub fn mute(&mut self) {
+        self.log = channel().1;
+    }
+
     /// The log lines that came and nobody looked at.
     pub fn rest_of_log(&self) -> Vec<String> {
         self.log.try_iter().collect()
