Add the control service: the module's decisions to other proxies over xDS, with a view checker

Change: src/control/ (pure: model of per-point views by a Router of each point, debounce by urgency, one client's stream in both ADS variants; around them the feed's thread and tonic), dahliatrack control, deploy/control.hcl. The lab gains a stand-in control feed, stand-in xDS clients that log their views, a checker of these logs, and lab xds. Feed counts its polls and takes the wait it asks for. Crates: tonic, prost (gRPC, protobuf), envoy-types (envoy's published messages, kept up by others), tokio and tokio-stream under tonic; only `control` and `lab xds` start them.

Mutations of the barrier, the NACK rule, the urgency of drains and the filter of held caches each fail a test.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -41,12 +41,37 @@
     up: bool,
     deadline: Option<Handle>,
     pause: i64,
+    /// How long an answer may be held back, ms.
+    wait: i64,
+    /// Polls begun, and the newest one that was answered.
+    polls: [u64; 2],
 }
 
 impl Feed {
     /// A feed that has had the events up to `last`.
     pub fn new(addr: SocketAddr, last: u64) -> Self {
-        Feed { addr, last, conn: None, up: false, deadline: None, pause: PAUSES[0] }
+        Feed {
+            addr,
+            last,
+            conn: None,
+            up: false,
+            deadline: None,
+            pause: PAUSES[0],
+            wait: WAIT_MS,
+            polls: [0; 2],
+        }
+    }
+
+    /// The same, asked to hold its answers back for other than a second, ms: who must know how recent its view is
+    /// asks more often.
+    pub fn with_wait(self, wait: i64) -> Self {
+        Feed { wait, ..self }
+    }
+
+    /// How many polls were begun, and the number of the newest one that was answered. What the feed had to tell
+    /// when poll N was begun is known once N was answered.
+    pub fn polls(&self) -> [u64; 2] {
+        self.polls
     }
 
     /// Whether this connection is the feed's.
@@ -97,10 +122,13 @@
 
     fn ask(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
         let Some(key) = self.conn else { return };
-        let (last, addr) = (self.last, self.addr);
-        let head = format!("GET /v1/events?SUB={last}&wait={WAIT_MS} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
+        let (last, addr, wait) = (self.last, self.addr, self.wait);
+        let head = format!("GET /v1/events?SUB={last}&wait={wait} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
         match net.write(key, [head.into()]) {
-            Ok(()) => self.expect(now + WAIT_MS * 1000 + SLACK, Due::Overdue, due),
+            Ok(()) => {
+                self.polls[0] += 1;
+                self.expect(now + wait * 1000 + SLACK, Due::Overdue, due);
+            }
             Err(reason) => self.broke(now, reason, net, due),
         }
     }
@@ -135,6 +163,7 @@
                     match read {
                         Ok(batch) if answer.status == 200 => {
                             self.pause = PAUSES[0];
+                            self.polls[1] = self.polls[0];
                             self.take(batch, &mut news);
                         }
                         other => {
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -1,6 +1,9 @@
 //! The project's own laboratory: load and experiment tools that drive the edge proxy over its real fronts on
 //! loopback. Nothing here is on the data path.
 
+pub mod feed;
 pub mod flood;
 pub mod site;
 pub mod thrift_client;
+pub mod views;
+pub mod xds;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod admission;
 pub mod config;
+pub mod control;
 pub mod core;
 pub mod deadlines;
 pub mod expect;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -414,7 +414,8 @@
         }
         let place = |s: &Server| rendezvous(object, s.member.server, s.member.weight * self.warmth(now, s));
         choice.sort_by(|a, b| place(a).total_cmp(&place(b)));
-        choice.sort_by_key(|s| !self.at_hub(s)); // a farther hub costs more bytes on links
+        let hub = self.settings.hub_by_zone.get(usize::from(self.settings.zone.0));
+        choice.sort_by_key(|s| Some(&s.member.zone) != hub); // a farther hub costs more bytes on links
         let usual = self.class(&open.request).target as f64 / 8.0;
         let time = |s: &Server| {
             let known = (-((now - s.filled) as f64) / FORGIVEN as f64).exp();
@@ -461,9 +462,10 @@
         self.finish(id, out);
     }
 
-    /// How many servers are kept in mind: those listed, and those gone on which attempts are still out.
-    pub fn known(&self) -> usize {
-        self.servers.len()
+    /// What each server kept in mind, listed or gone with attempts still out, can be trusted with by now.
+    pub fn capacities(&self, now: Micros) -> BTreeMap<ServerId, f64> {
+        let middle = self.middle_late();
+        self.servers.iter().map(|(id, s)| (*id, self.capacity(now, s, middle))).collect()
     }
 
     /// The caches of the list, and how many of them get nothing now, or trials only.
@@ -933,10 +935,6 @@
         Some(server.member.kind) == self.settings.parent_kind
     }
 
-    fn at_hub(&self, server: &Server) -> bool {
-        self.settings.hub_by_zone.get(usize::from(self.settings.zone.0)) == Some(&server.member.zone)
-    }
-
     /// Whether a server is a cache: no parent, and not the origin.
     pub fn is_cache(&self, server: ServerId) -> bool {
         let kind = self.servers.get(&server).map(|s| s.member.kind);
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,17 +5,20 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use dahliatrack::config::signed::Signed;
 use dahliatrack::config::{Config, ConfigError, Files};
+use dahliatrack::control::service::{self, ControlError};
 use dahliatrack::expect::lint::{lint, points, Severity};
 use dahliatrack::expect::site::Site;
 use dahliatrack::expect::{self, ExpectError, Overrides};
 use dahliatrack::front::signed::gate::{Binding, Gate, Grant, SignError};
 use dahliatrack::lab::flood::{self, Plan};
 use dahliatrack::lab::site::{self, Shape};
+use dahliatrack::lab::xds;
 use dahliatrack::server::{route_classes, Server, ServerError};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 use tracing::level_filters::LevelFilter;
 
 /// A real edge proxy for a two-tier cache.
@@ -42,12 +45,19 @@
         /// The operator's admission file (HCL): caps, rates and reserves of clients' connections; off without it
         #[arg(long, env = "PROXY_ADMISSION")]
         admission: Option<PathBuf>,
-        /// The least important log lines to write
-        #[arg(long, default_value = "info", value_parser = level)]
-        log: LevelFilter,
-        /// How log lines are written
-        #[arg(long, value_enum, default_value = "text")]
-        log_format: logger::LogFormat,
+        #[command(flatten)]
+        log: Log,
+    },
+    /// Hand the decisions to other proxies over xDS until SIGTERM or SIGINT; SIGHUP reads the operator's file again
+    Control {
+        /// The configuration
+        #[arg(long, env = "PROXY_CONFIG")]
+        config: PathBuf,
+        /// The operator's file of the control service (HCL)
+        #[arg(long, env = "PROXY_CONTROL")]
+        control: PathBuf,
+        #[command(flatten)]
+        log: Log,
     },
     /// Hold a configuration against routing expectations, asking the decision module itself; sends no traffic
     Check {
@@ -117,6 +127,23 @@
     Version,
 }
 
+/// What is logged, and how.
+#[derive(clap::Args)]
+struct Log {
+    /// The least important log lines to write
+    #[arg(long, default_value = "info", value_parser = level)]
+    log: LevelFilter,
+    /// How log lines are written
+    #[arg(long, value_enum, default_value = "text")]
+    log_format: logger::LogFormat,
+}
+
+impl Log {
+    fn start(&self) {
+        logger::start(self.log, self.log_format);
+    }
+}
+
 /// How results are written.
 #[derive(Clone, Copy, ValueEnum)]
 enum Format {
@@ -150,6 +177,21 @@
 
 #[derive(Subcommand)]
 enum Lab {
+    /// Measure the control service in this process: from a drain to each stand-in client's view without that cache
+    Xds {
+        /// Clients, half of each variant
+        #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=20_000))]
+        clients: u64,
+        /// Points
+        #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=1000))]
+        points: u64,
+        /// Table caches in all
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=20_000))]
+        caches: u64,
+        /// Caches drained, one after another
+        #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+        drains: u64,
+    },
     /// Print the configuration of a made-up site, to try the tools on
     Site {
         /// Points: zones with edge proxies and table caches
@@ -239,6 +281,8 @@
     #[error(transparent)]
     Sign(#[from] SignError),
     #[error(transparent)]
+    Control(#[from] ControlError),
+    #[error(transparent)]
     Expect(#[from] ExpectError),
     #[error("{0} errors in the configuration")]
     Findings(usize),
@@ -256,6 +300,7 @@
             let config = match &error {
                 Error::Config(_) | Error::Expect(_) | Error::Findings(_) => true,
                 Error::Server(error) => error.is_config(),
+                Error::Control(error) => error.is_config(),
                 Error::Sign(_) | Error::Flood(_) | Error::Unmet => false,
             };
             ExitCode::from(if config { BAD_CONFIG } else { 1 })
@@ -265,10 +310,14 @@
 
 fn run(command: Command) -> Result<(), Error> {
     match command {
-        Command::Serve { config, signed, admin, admission, log, log_format } => {
-            logger::start(log, log_format);
+        Command::Serve { config, signed, admin, admission, log } => {
+            log.start();
             Server::start(Files { config, signed, admin, admission })?.run()?;
         }
+        Command::Control { config, control, log } => {
+            log.start();
+            service::run(&service::Files { config, control })?;
+        }
         Command::Check { config, expect, seed, seeds, only, format } => {
             let report = expect::check(&config, &expect, &Overrides { seed, seeds, only })?;
             match format {
@@ -325,6 +374,13 @@
             };
             print(&flood::run(&plan).map_err(|error| Error::Flood(error.to_string()))?);
         }
+        Command::Lab(Lab::Xds { clients, points, caches, drains }) => {
+            let [clients, points, caches, drains] = [clients, points, caches, drains].map(|n| n as usize);
+            let shape = Shape { points, proxies: points, caches, hubs: 4, ..Shape::default() };
+            let plan = xds::Measure { clients, shape, drains, wait: Duration::from_secs(20) };
+            let runtime = tokio::runtime::Runtime::new().map_err(ControlError::from)?;
+            print(&runtime.block_on(xds::measure(&plan))?);
+        }
         Command::Lab(Lab::Site { points, proxies, caches, hubs, parents, seed }) => {
             let [points, proxies, caches, hubs, parents] =
                 [points, proxies, caches, hubs, parents].map(|n| n as usize);
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -1168,11 +1168,11 @@
     let home = fleet().into_iter().find(|m| m.server == get.server).expect("it is listed");
     bench.list(ListKind::Delta, vec![Member { state: ServerState::Gone, ..home }]);
     bench.pass(2 * SECOND);
-    assert_eq!(bench.router.known(), fleet().len(), "its attempt is still out");
+    assert_eq!(bench.router.capacities(0).len(), fleet().len(), "its attempt is still out");
     bench.end(&get, 0, AttemptResult::Ok, Some(Note::Hit));
     bench.get(8);
     bench.pass(2 * SECOND);
-    assert_eq!(bench.router.known(), fleet().len() - 1);
+    assert_eq!(bench.router.capacities(0).len(), fleet().len() - 1);
 }
 
 #[test]
