Replay public cluster traces against stand-in caches: lab replay, lab demo, lab trace

Change: src/trace/ reads published traces in CSV (Azure Functions 2021, Google 2011 task_events, Alibaba 2018 batch_task, or columns by name) by a map in HCL, counts what becomes of each row by column, puts rows in order over a bounded window, and samples by stratified slices, which keep rate and bursts. lab::caches puts the simulator's hosts behind real listeners (sim::hosts::Fleet now serves both), lab::replay drives the proxy's own process in an open loop, lab::report words it as a table or a page with plots, lab::made makes traces. SplitMix, object lists in HCL and query numbers now stand once each.

--- a/src/config/located.rs
+++ b/src/config/located.rs
@@ -1,6 +1,7 @@
 //! Operators' HCL read with places: every error names file, line and column (`hcl-edit` keeps the spans that
 //! `hcl-rs` drops). One [`Reader`] reads one block, and what nobody asked it for is an error at the end.
 
+use crate::interface::ObjectId;
 use hcl_edit::expr::Expression;
 use hcl_edit::structure::{Attribute, Block, Body, Structure};
 use hcl_edit::Span;
@@ -140,6 +141,21 @@
         Ok(self.wants(attribute, list, "a text, or a list of texts that is not empty")?.value)
     }
 
+    /// Objects of 16 hex digits each, a text or a list; absent: an empty list.
+    ///
+    /// # Errors
+    ///
+    /// A value of another type or form.
+    pub fn objects(&mut self, key: &str) -> Result<Vec<ObjectId>, DocError> {
+        let (texts, doc) = (self.strings(key)?, self.doc);
+        let object = |text: Located<String>| {
+            let number = u64::from_str_radix(&text.value, 16).ok().filter(|_| text.value.len() == 16);
+            let wrong = || doc.error(text.at, format!("{:?} is not 16 hex digits", text.value));
+            number.map(ObjectId).ok_or_else(wrong)
+        };
+        texts.into_iter().map(object).collect()
+    }
+
     /// `true` or `false`.
     ///
     /// # Errors
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -78,12 +78,7 @@
                 return Err(doc.error(at, "hot names one class: hot \"CLASS\" { ... }"));
             };
             let mut inner = doc.reader(&block.body);
-            let mut objects = Vec::new();
-            for text in inner.strings("objects")? {
-                let number = u64::from_str_radix(&text.value, 16).ok().filter(|_| text.value.len() == 16);
-                let wrong = || doc.error(text.at, format!("{:?} is not 16 hex digits", text.value));
-                objects.push(ObjectId(number.ok_or_else(wrong)?));
-            }
+            let objects = inner.objects("objects")?;
             inner.finish()?;
             hot.push((Located { value: label.as_str().to_owned(), at }, objects));
         }
--- a/src/expect/judge.rs
+++ b/src/expect/judge.rs
@@ -5,6 +5,7 @@
 use super::site::{Selector, Site};
 use crate::config::located::{Located, Place};
 use crate::interface::{ClassId, Member, ObjectId, ServerId, ZoneId};
+use crate::spread::next;
 use crate::SettingsError;
 use rayon::prelude::*;
 use serde::Serialize;
@@ -83,16 +84,9 @@
 
 /// The objects of a class that are sampled: the same ones at each run.
 fn sample(class: ClassId, count: usize) -> Vec<ObjectId> {
-    // SplitMix64 from the class's number: spread over all 64 bits, as the platform's ids are.
+    // From the class's number, spread over all 64 bits as the platform's ids are.
     let mut state = 0x5eed_0000 + u64::from(class.0);
-    let mut next = || {
-        state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut x = state;
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ObjectId(x ^ (x >> 31))
-    };
-    (0..count).map(|_| next()).collect()
+    (0..count).map(|_| ObjectId(next(&mut state))).collect()
 }
 
 /// What is explored once, for all expectations that ask it: equal words mean equal explorations.
--- a/src/expect/language.rs
+++ b/src/expect/language.rs
@@ -227,14 +227,7 @@
     let classes = reader.strings("class")?;
     let classes = classes.iter().map(|c| site.class(&c.value).map_err(|e| located(c, e)));
     let classes: Vec<ClassId> = classes.collect::<Result<_, _>>()?;
-    let objects = reader.strings("objects")?;
-    let objects = objects.iter().map(|object| {
-        let number = u64::from_str_radix(&object.value, 16).ok().filter(|_| object.value.len() == 16);
-        number
-            .map(ObjectId)
-            .ok_or_else(|| located(object, format!("{:?} is not 16 hex digits", object.value)))
-    });
-    let objects = objects.collect::<Result<_, _>>()?;
+    let objects = reader.objects("objects")?;
     let popular = reader.flag("popular")?.is_some_and(|flag| flag.value);
     let scenarios = match reader.block("when")? {
         Some(when) => scenarios(doc, when, site)?,
--- a/src/lab/feed.rs
+++ b/src/lab/feed.rs
@@ -92,14 +92,8 @@
                 head.push(line);
             }
             let query = head.first().and_then(|line| line.split(' ').nth(1)).unwrap_or_default();
-            let number = |name: &str| {
-                let pairs = query.split(['?', '&']).filter_map(|pair| pair.split_once('='));
-                pairs
-                    .filter(|(key, _)| *key == name)
-                    .find_map(|(_, value)| value.parse::<u64>().ok())
-                    .unwrap_or(0)
-            };
-            let (after, wait) = (number("SUB") as usize, Duration::from_millis(number("wait").min(5000)));
+            let (after, wait) =
+                (number(query, "SUB") as usize, Duration::from_millis(number(query, "wait").min(5000)));
             let until = Instant::now() + wait;
             let mut state = self.state();
             state.polls += 1;
@@ -115,6 +109,12 @@
     }
 }
 
+/// A number in the query of a path; 0, where it has none of that name.
+pub fn number(path: &str, name: &str) -> u64 {
+    let pairs = path.split(['?', '&']).filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok()).unwrap_or(0)
+}
+
 fn batch(events: &[Value], after: usize) -> Value {
     json!({"n": events.len(), "events": events[after..]})
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,8 @@
 pub mod server;
 pub mod sim;
 pub mod slots;
+pub mod spread;
+pub mod trace;
 pub mod upstream;
 mod validate;
 
--- a/src/net/fabric.rs
+++ b/src/net/fabric.rs
@@ -6,6 +6,7 @@
 //! by its owner: it is told what came by [`Signal`]s and answers by [`Fabric::send`] and the like. A host can be up,
 //! refusing or silent; what is under way to or from a silent one is held until it is back, as resends would.
 
+use crate::spread::next;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -190,11 +191,8 @@
     }
 
     fn draw(&mut self) -> u64 {
-        // SplitMix64: it has to repeat, not to be good.
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let x = (self.random ^ (self.random >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^ (x >> 31)
+        // It has to repeat, not to be good.
+        next(&mut self.random)
     }
 
     fn new_link(&mut self, process: u32, host: SocketAddr) -> u64 {
--- a/src/sim/faults.rs
+++ b/src/sim/faults.rs
@@ -196,6 +196,16 @@
         Ok(plan)
     }
 
+    /// The same plan without the faults that are not a host's own or told of hosts: the feed's connections, clients, processes.
+    pub fn of_hosts(mut self) -> Self {
+        const OTHERS: [&str; 6] =
+            ["feed_silent", "feed_reset", "client_gone", "upgrade", "upgrade_dies", "crash"];
+        for ((kind, _), weight) in KINDS.iter().zip(&mut self.weights) {
+            *weight = if OTHERS.contains(kind) { 0.0 } else { *weight };
+        }
+        self
+    }
+
     /// The faults of a seed, in the order of their times.
     pub fn script(&self, seed: u64) -> Vec<Fault> {
         // A stream of its own: whatever is left out of the script, the traffic stays as it is.
@@ -262,6 +272,11 @@
         let only = read(&format!("sim {{\n faults = 20\n weights {{\n{zeros} }}\n}}")).expect("usable");
         let drawn: Vec<Fault> = (0..20).flat_map(|seed| only.script(seed)).collect();
         assert!(drawn.len() > 50 && drawn.iter().all(|fault| fault.what == What::Crash));
+        let hosts = Plan::default().of_hosts();
+        let others = |fault: &Fault| {
+            matches!(fault.what, What::Crash | What::Upgrade | What::FeedReset | What::ClientGone { .. })
+        };
+        assert!((0..50).flat_map(|seed| hosts.script(seed)).all(|fault| !others(&fault)));
         for (text, wanted) in [
             ("sim {\n caches = 0\n}", "f.hcl:2:11: caches wants a whole number from 1 to 50"),
             (
--- a/src/sim/hosts.rs
+++ b/src/sim/hosts.rs
@@ -149,6 +149,87 @@
     }
 }
 
+/// The hosts of a point: its caches, the parents of its hub, and last the origin.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// By number.
+    pub hosts: Vec<Host>,
+}
+
+impl Fleet {
+    /// The number of a host by its name.
+    pub fn named(&self, name: &str) -> Option<usize> {
+        self.hosts.iter().position(|host| host.name == name)
+    }
+
+    /// What a host answers now, us: the word, the fields, the bytes. Copies that a fill makes are kept.
+    pub fn outcome(
+        &mut self,
+        number: usize,
+        fetch: &Fetch,
+        now: i64,
+        is_there: &dyn Fn(&Fleet, usize) -> bool,
+    ) -> (&'static str, String, Vec<u8>) {
+        let bare = |word, tell: &str| (word, format!("tell={tell},waited=0"), Vec::new());
+        if self.hosts[number].errors > now {
+            return ("500", String::new(), Vec::new());
+        }
+        let source = fetch.from.as_ref().and_then(|from| self.named(from));
+        let origin = self.hosts.len() - 1;
+        if fetch.class == "result" {
+            let runs = match source {
+                _ if self.hosts[number].tier != Tier::Cache => is_there(self, origin),
+                Some(source) => is_there(self, source) && is_there(self, origin),
+                None => return bare("404", "not_there"),
+            };
+            return match runs {
+                true => {
+                    ("200", "tell=pulled_far,waited=10".into(), format!("done:{};", fetch.id).into_bytes())
+                }
+                false => bare("500", "cut_off"),
+            };
+        }
+        if let Some(born) = self.hosts[number].holds(fetch, now) {
+            return copy("local", fetch, born);
+        }
+        let far = |fleet: &mut Self, through: Option<usize>| {
+            if !is_there(fleet, origin) || fleet.hosts[origin].errors > now {
+                return bare("500", "far_fault");
+            }
+            let born = now - 1000;
+            for host in [Some(number), through].into_iter().flatten().filter(|host| *host != origin) {
+                fleet.hosts[host].copies.insert(fetch.item.clone(), born);
+            }
+            copy("pulled_far", fetch, born)
+        };
+        match (self.hosts[number].tier, source) {
+            (Tier::Origin, _) => copy("local", fetch, now - 1000),
+            (Tier::Parent, _) if fetch.peek => bare("404", "not_there"),
+            (Tier::Parent, _) => far(self, None),
+            (Tier::Cache, None) => bare("404", "not_there"),
+            (Tier::Cache, Some(source)) if !is_there(self, source) => bare("500", "cut_off"),
+            (Tier::Cache, Some(source)) => match self.hosts[source].holds(fetch, now) {
+                Some(born) => {
+                    self.hosts[number].copies.insert(fetch.item.clone(), born);
+                    copy("pulled", fetch, born)
+                }
+                None if self.hosts[source].tier == Tier::Cache || fetch.peek => bare("404", "not_there"),
+                None => far(self, Some(source)),
+            },
+        }
+    }
+}
+
+/// An answer with a copy: its bytes say what it is and when the origin gave it out.
+fn copy(tell: &str, fetch: &Fetch, born: i64) -> (&'static str, String, Vec<u8>) {
+    let (item, part) = &fetch.item;
+    let mut body = format!("{item}:{part}:{born};").into_bytes();
+    let long = u64::from_str_radix(item, 16).unwrap_or(0).wrapping_mul(2_654_435_761) % 20_000;
+    body.resize(body.len() + 100 + long as usize, b'.');
+    let waited = if tell == "local" { 0 } else { 10 };
+    ("200", format!("ver=v{born},born={},tell={tell},waited={waited}", born / 1000), body)
+}
+
 /// An answer's bytes on the wire.
 pub fn answer(id: &str, word: &str, fields: &str, body: &[u8]) -> Vec<u8> {
     let fields = if fields.is_empty() { "-" } else { fields };
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -2,9 +2,10 @@
 //! hosts and the control feed, with a script of faults. Everything that is left to chance is drawn from the seed.
 
 use super::faults::{Fault, Plan, What};
-use super::hosts::{answer, lines, Fetch, Host, Line, Tier};
+use super::hosts::{answer, lines, Fetch, Fleet, Host, Line, Tier};
 use super::rules::{Breach, Rules, WAY};
 use crate::config::Config;
+use crate::lab::feed::number;
 use crate::lab::site::{config, Shape};
 use crate::lab::thrift_client::{self, Answered};
 use crate::net::fabric::{host as address, Fabric, Reach, Signal};
@@ -135,7 +136,7 @@
     count: u64,
     calls: Vec<Call>,
     clients: Vec<Client>,
-    hosts: Vec<Host>,
+    fleet: Fleet,
     numbers: BTreeMap<SocketAddr, usize>,
     feed: FeedHost,
     base: Value,
@@ -189,7 +190,7 @@
             count: 0,
             calls: Vec::new(),
             clients: (0..plan.clients).map(|_| Client::default()).collect(),
-            hosts: Vec::new(),
+            fleet: Fleet::default(),
             numbers: BTreeMap::new(),
             feed: FeedHost::default(),
             base,
@@ -211,7 +212,7 @@
             world.fabric.set_reach(address(n as u16), Reach::Up);
             world.numbers.insert(address(n as u16), n);
             let name = entry["host"].as_str().unwrap_or_default().to_owned();
-            world.hosts.push(Host::new(&name, tier, entry));
+            world.fleet.hosts.push(Host::new(&name, tier, entry));
         }
         world.fabric.set_reach(address(FEED), Reach::Up);
         world.feed.events.push(first);
@@ -393,7 +394,7 @@
             Later::Back(host) => self.back(host),
             Later::Die(host) => self.die(host),
             Later::Settle(object, at) => {
-                for host in &mut self.hosts {
+                for host in &mut self.fleet.hosts {
                     let concerned = |item: &str| object.as_ref().is_none_or(|object| object == item);
                     host.copies.retain(|(item, _), born| *born >= at || !concerned(item));
                 }
@@ -549,7 +550,7 @@
     // ---- Hosts.
 
     fn host_got(&mut self, number: usize, link: u64, bytes: &[u8], sent: i64) {
-        let host = &mut self.hosts[number];
+        let host = &mut self.fleet.hosts[number];
         let Some((input, began)) = host.links.get_mut(&link).filter(|_| !host.dead) else { return };
         // What is left of the piece before began with it.
         let first = if input.is_empty() { sent } else { *began };
@@ -562,7 +563,7 @@
         for line in lines {
             match line {
                 Line::Fetch(fetch) => self.fetched(number, link, fetch, first),
-                Line::Abort(id) => drop(self.hosts[number].open.remove(&(link, id))),
+                Line::Abort(id) => drop(self.fleet.hosts[number].open.remove(&(link, id))),
                 Line::Probe(tag) => self.fabric.send(link, &answer(&tag, "status", "", b"")),
             }
         }
@@ -570,20 +571,20 @@
 
     fn fetched(&mut self, number: usize, link: u64, fetch: Fetch, sent: i64) {
         let is_result = fetch.class == "result";
-        let name = self.hosts[number].name.clone();
+        let name = self.fleet.hosts[number].name.clone();
         self.rules.fetched(self.now, sent, (number, &name), link, &fetch.id, is_result);
-        if self.hosts[number].open.contains_key(&(link, fetch.id.clone())) {
+        if self.fleet.hosts[number].open.contains_key(&(link, fetch.id.clone())) {
             self.rules.broken(self.now, "same-id", format!("{} comes twice on one connection", fetch.id));
         }
         self.cold(number);
         let mut after = self.service(number);
-        if is_result || self.hosts[number].holds(&fetch, self.now).is_none() {
-            if let Some(source) = fetch.from.as_ref().and_then(|from| self.named(from)) {
+        if is_result || self.fleet.hosts[number].holds(&fetch, self.now).is_none() {
+            if let Some(source) = fetch.from.as_ref().and_then(|from| self.fleet.named(from)) {
                 after += if self.is_there(source) { self.service(source) } else { SOURCE_LOST };
             }
         }
         let id = fetch.id.clone();
-        self.hosts[number].open.insert((link, id.clone()), fetch);
+        self.fleet.hosts[number].open.insert((link, id.clone()), fetch);
         self.later(self.now + after, Later::Answer(number, link, id));
     }
 
@@ -591,7 +592,7 @@
     fn cold(&mut self, number: usize) {
         let (now, rules) = (self.now, &self.base["settings"]["rules"]);
         let figure = |name: &str| rules[name].as_f64().unwrap_or(0.0);
-        let host = &mut self.hosts[number];
+        let host = &mut self.fleet.hosts[number];
         let Some(born) = host.born.filter(|born| now - born < (figure("warm_after") * 1000.0) as i64) else {
             return;
         };
@@ -611,7 +612,7 @@
 
     fn service(&mut self, number: usize) -> i64 {
         let usual = self.random.random_range(2..=12) * 1000;
-        let (times, until) = self.hosts[number].slow;
+        let (times, until) = self.fleet.hosts[number].slow;
         if until > self.now {
             usual * times
         } else {
@@ -619,13 +620,9 @@
         }
     }
 
-    fn named(&self, name: &str) -> Option<usize> {
-        self.hosts.iter().position(|host| host.name == name)
-    }
-
     /// Whether another host reaches it.
     fn is_there(&self, number: usize) -> bool {
-        !self.hosts[number].dead && self.silent_until(number) <= self.now
+        !self.fleet.hosts[number].dead && self.silent_until(number) <= self.now
     }
 
     fn silent_until(&self, number: usize) -> i64 {
@@ -633,71 +630,24 @@
     }
 
     fn answer(&mut self, number: usize, link: u64, id: &str) {
-        let Some(fetch) = self.hosts[number].open.remove(&(link, id.to_owned())) else { return };
-        if self.hosts[number].dead {
+        let Some(fetch) = self.fleet.hosts[number].open.remove(&(link, id.to_owned())) else { return };
+        if self.fleet.hosts[number].dead {
             return;
         }
-        if std::mem::take(&mut self.hosts[number].garbled) {
+        if std::mem::take(&mut self.fleet.hosts[number].garbled) {
             return self.fabric.send(link, b"no line of the protocol at all\r\n");
         }
-        let (word, fields, body) = self.outcome(number, &fetch);
+        let (fabric, now) = (self.fabric.clone(), self.now);
+        let is_there = |fleet: &Fleet, host: usize| {
+            !fleet.hosts[host].dead && fabric.silent_until(address(host as u16)) <= now
+        };
+        let (word, fields, body) = self.fleet.outcome(number, &fetch, now, &is_there);
         if matches!(word, "404" | "503" | "504") {
             self.rules.never_ran(number, link, id);
         }
         self.fabric.send(link, &answer(id, word, &fields, &body));
     }
 
-    /// What a host answers now: the word, the fields, the bytes.
-    fn outcome(&mut self, number: usize, fetch: &Fetch) -> (&'static str, String, Vec<u8>) {
-        let bare = |word, tell: &str| (word, format!("tell={tell},waited=0"), Vec::new());
-        if self.hosts[number].errors > self.now {
-            return ("500", String::new(), Vec::new());
-        }
-        let source = fetch.from.as_ref().and_then(|from| self.named(from));
-        let origin = self.hosts.len() - 1;
-        if fetch.class == "result" {
-            let runs = match source {
-                _ if self.hosts[number].tier != Tier::Cache => self.is_there(origin),
-                Some(source) => self.is_there(source) && self.is_there(origin),
-                None => return bare("404", "not_there"),
-            };
-            return match runs {
-                true => {
-                    ("200", "tell=pulled_far,waited=10".into(), format!("done:{};", fetch.id).into_bytes())
-                }
-                false => bare("500", "cut_off"),
-            };
-        }
-        if let Some(born) = self.hosts[number].holds(fetch, self.now) {
-            return copy("local", fetch, born);
-        }
-        let far = |world: &mut Self, through: Option<usize>| {
-            if !world.is_there(origin) || world.hosts[origin].errors > world.now {
-                return bare("500", "far_fault");
-            }
-            let born = world.now - 1000;
-            for host in [Some(number), through].into_iter().flatten().filter(|host| *host != origin) {
-                world.hosts[host].copies.insert(fetch.item.clone(), born);
-            }
-            copy("pulled_far", fetch, born)
-        };
-        match (self.hosts[number].tier, source) {
-            (Tier::Origin, _) => copy("local", fetch, self.now - 1000),
-            (Tier::Parent, _) if fetch.peek => bare("404", "not_there"),
-            (Tier::Parent, _) => far(self, None),
-            (Tier::Cache, None) => bare("404", "not_there"),
-            (Tier::Cache, Some(source)) if !self.is_there(source) => bare("500", "cut_off"),
-            (Tier::Cache, Some(source)) => match self.hosts[source].holds(fetch, self.now) {
-                Some(born) => {
-                    self.hosts[number].copies.insert(fetch.item.clone(), born);
-                    copy("pulled", fetch, born)
-                }
-                None if self.hosts[source].tier == Tier::Cache || fetch.peek => bare("404", "not_there"),
-                None => far(self, Some(source)),
-            },
-        }
-    }
-
     // ---- The control feed.
 
     fn feed_got(&mut self, link: u64, bytes: &[u8]) {
@@ -707,15 +657,8 @@
         let head = String::from_utf8_lossy(&input[..end]).into_owned();
         input.drain(..end + 4);
         let query = head.split(' ').nth(1).unwrap_or_default().to_owned();
-        let number = |name: &str| {
-            let pairs = query.split(['?', '&']).filter_map(|pair| pair.split_once('='));
-            pairs
-                .filter(|(key, _)| *key == name)
-                .find_map(|(_, value)| value.parse::<i64>().ok())
-                .unwrap_or(0)
-        };
-        let until = self.now + number("wait").clamp(0, 5000) * 1000;
-        self.feed.polls.insert(link, (number("SUB").max(0) as usize, until));
+        let until = self.now + number(&query, "wait").min(5000) as i64 * 1000;
+        self.feed.polls.insert(link, (number(&query, "SUB") as usize, until));
         self.later(until, Later::PollEnds(link));
         self.answer_poll(link);
     }
@@ -741,9 +684,9 @@
     }
 
     fn tell_health(&mut self, number: usize, health: &str) -> i64 {
-        let mut entry = self.hosts[number].entry.clone();
+        let mut entry = self.fleet.hosts[number].entry.clone();
         entry["health"] = health.into();
-        self.hosts[number].entry = entry.clone();
+        self.fleet.hosts[number].entry = entry.clone();
         self.tell(json!({"members": {"seq": 0, "whole": false, "hosts": [entry]}}))
     }
 
@@ -758,7 +701,7 @@
         self.fabric.note(serde_json::to_string(&what).unwrap_or_default());
         match what {
             What::Silent { host, ms } => {
-                if !self.hosts[host].dead {
+                if !self.fleet.hosts[host].dead {
                     let until = self.now + ms * 1000;
                     self.fabric.set_reach(address(host as u16), Reach::SilentUntil(until));
                 }
@@ -768,9 +711,9 @@
                 self.later(self.now + ms * 1000, Later::Back(host));
             }
             What::Reset { host } => self.break_links(host),
-            What::Slow { host, times, ms } => self.hosts[host].slow = (times, self.now + ms * 1000),
-            What::Errors { host, ms } => self.hosts[host].errors = self.now + ms * 1000,
-            What::Garbled { host } => self.hosts[host].garbled = true,
+            What::Slow { host, times, ms } => self.fleet.hosts[host].slow = (times, self.now + ms * 1000),
+            What::Errors { host, ms } => self.fleet.hosts[host].errors = self.now + ms * 1000,
+            What::Garbled { host } => self.fleet.hosts[host].garbled = true,
             What::Drained { host } => {
                 let told = self.tell_health(host, "draining");
                 self.rules.left(host, told);
@@ -781,7 +724,7 @@
                 self.later(self.now + 1_000_000, Later::Die(host));
             }
             What::Ready { host } => {
-                if self.hosts[host].dead {
+                if self.fleet.hosts[host].dead {
                     self.back(host);
                 }
                 self.rules.came(host);
@@ -852,20 +795,20 @@
     }
 
     fn break_links(&mut self, host: usize) {
-        let broken = std::mem::take(&mut self.hosts[host].links);
+        let broken = std::mem::take(&mut self.fleet.hosts[host].links);
         broken.into_keys().for_each(|link| self.fabric.reset(link));
-        self.hosts[host].open.clear();
+        self.fleet.hosts[host].open.clear();
     }
 
     fn die(&mut self, host: usize) {
         self.break_links(host);
-        self.hosts[host].copies.clear();
-        self.hosts[host].dead = true;
+        self.fleet.hosts[host].copies.clear();
+        self.fleet.hosts[host].dead = true;
         self.fabric.set_reach(address(host as u16), Reach::Refusing);
     }
 
     fn back(&mut self, host: usize) {
-        let one = &mut self.hosts[host];
+        let one = &mut self.fleet.hosts[host];
         if !one.dead || one.entry["health"] == "removed" && one.born.is_none_or(|born| born == self.now) {
             return;
         }
@@ -903,14 +846,14 @@
                 }
                 Signal::Opened { host, .. } => {
                     if let Some(number) = self.numbers.get(&host) {
-                        self.hosts[*number].links.insert(link, (Vec::new(), self.now));
+                        self.fleet.hosts[*number].links.insert(link, (Vec::new(), self.now));
                     }
                 }
                 Signal::Bytes { bytes, sent, .. } => {
                     if self.feed.links.contains_key(&link) {
                         self.feed_got(link, &bytes);
                     } else if let Some(host) =
-                        self.hosts.iter().position(|host| host.links.contains_key(&link))
+                        self.fleet.hosts.iter().position(|host| host.links.contains_key(&link))
                     {
                         self.host_got(host, link, &bytes, sent);
                     }
@@ -918,7 +861,7 @@
                 Signal::Closed { .. } | Signal::Broken { .. } => {
                     self.feed.links.remove(&link);
                     self.feed.polls.remove(&link);
-                    for host in &mut self.hosts {
+                    for host in &mut self.fleet.hosts {
                         if host.links.remove(&link).is_some() {
                             host.open.retain(|(on, _), _| *on != link);
                         }
@@ -928,13 +871,3 @@
         }
     }
 }
-
-/// An answer with a copy: its bytes say what it is and when the origin gave it out.
-fn copy(tell: &str, fetch: &Fetch, born: i64) -> (&'static str, String, Vec<u8>) {
-    let (item, part) = &fetch.item;
-    let mut body = format!("{item}:{part}:{born};").into_bytes();
-    let long = u64::from_str_radix(item, 16).unwrap_or(0).wrapping_mul(2_654_435_761) % 20_000;
-    body.resize(body.len() + 100 + long as usize, b'.');
-    let waited = if tell == "local" { 0 } else { 10 };
-    ("200", format!("ver=v{born},born={},tell={tell},waited={waited}", born / 1000), body)
-}
--- /dev/null
+++ b/src/trace/sample.rs
@@ -0,0 +1,124 @@
+//! Samples a trace that is longer than the test without bending its rate: the trace is cut into as many strata as
+//! there are slices, and from each a slice of the test's own share is taken at a place drawn from the seed. Within a
+//! slice every row is kept with its distances, so the rate, its bursts and what is asked for again and again stay; a
+//! thinned or sped-up trace would keep none of them.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+/// Which parts of a trace are taken, and when they are played.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Slices {
+    /// Begin in the trace, us; each is `length` long and is played right behind the one before.
+    starts: Vec<i64>,
+    length: i64,
+}
+
+impl Slices {
+    /// Slices of a trace from `first` to `last`, us, for a test of `window`; a trace that fits is taken whole.
+    pub fn new(first: i64, last: i64, window: i64, slices: usize, seed: u64) -> Self {
+        let span = (last - first + 1).max(1);
+        if span <= window {
+            return Slices { starts: vec![first], length: span };
+        }
+        let slices = slices.clamp(1, window.max(1) as usize) as i64;
+        let (length, stratum) = ((window / slices).max(1), span / slices);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let place = |n| first + n * stratum + random.random_range(0..=(stratum - length).max(0));
+        Slices { starts: (0..slices).map(place).collect(), length }
+    }
+
+    /// When a row of this time is played, us from the start; `None`: it is not.
+    pub fn played(&self, at: i64) -> Option<i64> {
+        let n = self.starts.partition_point(|start| *start <= at).checked_sub(1)?;
+        let within = at - self.starts[n];
+        (within < self.length).then(|| n as i64 * self.length + within)
+    }
+
+    /// How long all of them are played, us.
+    pub fn length(&self) -> i64 {
+        self.starts.len() as i64 * self.length
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.starts.len()
+    }
+}
+
+/// Counts by class of the whole trace, and of what was taken of it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rates {
+    /// Rows of the trace by class.
+    pub all: BTreeMap<String, u64>,
+    /// Its length, us.
+    pub span: i64,
+    /// Rows taken by class.
+    pub taken: BTreeMap<String, u64>,
+    /// What they are played in, us.
+    pub played: i64,
+}
+
+impl Rates {
+    /// By class, and in all as `all`: the rate of the trace, a second, that of the sample, and by what part the sample's
+    /// differs. A class of which nothing was taken has -1.
+    pub fn errors(&self) -> BTreeMap<String, (f64, f64, f64)> {
+        let mut all = self.all.clone();
+        let mut taken = self.taken.clone();
+        all.insert("all".into(), self.all.values().sum());
+        taken.insert("all".into(), self.taken.values().sum());
+        let rate = |count: u64, span: i64| count as f64 / (span.max(1) as f64 / 1e6);
+        let of = |(class, count): (String, u64)| {
+            let told = rate(count, self.span);
+            let sampled = rate(taken.get(&class).copied().unwrap_or(0), self.played);
+            (class, (told, sampled, if told > 0.0 { sampled / told - 1.0 } else { 0.0 }))
+        };
+        all.into_iter().map(of).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_trace_that_fits_is_taken_whole_and_a_longer_one_by_slices() {
+        let whole = Slices::new(100, 199, 100, 5, 1);
+        assert_eq!(
+            (whole.played(100), whole.played(199), whole.played(200), whole.length()),
+            (Some(0), Some(99), None, 100)
+        );
+        let slices = Slices::new(1000, 100_999, 10_000, 10, 1);
+        assert_eq!((slices.count(), slices.length()), (10, 10_000));
+        let played: Vec<i64> = (0..101_000).filter_map(|at| slices.played(at)).collect();
+        assert_eq!(played, (0..10_000).collect::<Vec<_>>(), "each moment of the test once, in order");
+        assert_eq!(slices, Slices::new(1000, 100_999, 10_000, 10, 1));
+        assert_ne!(slices, Slices::new(1000, 100_999, 10_000, 10, 2));
+    }
+
+    /// A rate that rises tenfold and falls again: the sample keeps its mean, without thinning any moment of it.
+    #[test]
+    fn the_rate_is_not_bent() {
+        let mut worst: f64 = 0.0;
+        for seed in 0..20 {
+            let (mut rates, slices) =
+                (Rates::default(), Slices::new(0, 3_600_000_000, 600_000_000, 20, seed));
+            let mut at = 0;
+            while at <= 3_600_000_000 {
+                let class = if at % 7 < 2 { "result" } else { "piece" };
+                *rates.all.entry(class.into()).or_default() += 1;
+                if slices.played(at).is_some() {
+                    *rates.taken.entry(class.into()).or_default() += 1;
+                }
+                let part = at as f64 / 3.6e9;
+                at += 1_000_000 / (5.0 + 45.0 * (std::f64::consts::PI * part).sin()) as i64 + at % 3;
+            }
+            (rates.span, rates.played) = (3_600_000_000, slices.length());
+            let (told, sampled, error) = rates.errors()["all"];
+            assert!((sampled / told - 1.0 - error).abs() < 1e-9);
+            worst = worst.max(error.abs());
+        }
+        assert!(worst < 0.03, "{worst}");
+    }
+}
--- /dev/null
+++ b/src/trace/tests.rs
@@ -0,0 +1,140 @@
+use super::*;
+use std::path::PathBuf;
+
+fn file(name: &str, text: &[u8]) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("dahliatrack-trace-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join(name);
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+fn read(name: &str, text: &[u8], map: &str) -> Result<Trace, String> {
+    load(&file(name, text), Doc { file: "map.hcl", text: map }).map_err(|error| error.to_string())
+}
+
+fn times(trace: &Trace) -> Vec<i64> {
+    trace.requests.iter().map(|request| request.at).collect()
+}
+
+const AZURE: &str = "trace {\n format = \"azure-functions-2021\"\n class \"piece\" {}\n}";
+
+#[test]
+fn published_formats_are_read_by_their_columns() {
+    // Sorted by their ends, so their starts are not: 1.0, 0.5, 3.0 s.
+    let azure = b"app,func,end_timestamp,duration\na,f,2.0,1.0\na,g,2.5,2.0\nb,f,4.0,1.0\n";
+    let trace = read("azure.csv", azure, AZURE).expect("usable");
+    assert_eq!((times(&trace), trace.counts.reordered), (vec![0, 500_000, 2_500_000], 1));
+    let [a, b, c] = &trace.requests[..] else { panic!("three") };
+    assert!(a.object != b.object && b.object != c.object);
+    let google = b"0,,1,0,,0,u,2,9,0.1,0.1,0,0\n600000000,,1,0,,0,u,2,9,0.1,0.1,0,0\n600000001,,1,0,7,1,u,2,9,0.1,0.1,0,0\n\
+        9223372036854775807,,3,0,,0,u,0,1,,,,\n700000000,,2,0,,0,u,0,1,,,,\n";
+    let classes = "class \"result\" {\n column = \"scheduling_class\"\n from = 2\n }\n class \"piece\" {}";
+    let trace = read(
+        "google.csv",
+        google,
+        &format!("trace {{\n window_s = 1000\n format = \"google-2011-task-events\"\n {classes}\n}}"),
+    );
+    let trace = trace.expect("usable");
+    assert_eq!((trace.counts.rows, trace.counts.used, trace.counts.other), (5, 3, 1));
+    assert_eq!(trace.counts.skipped["time"], (1, "line 4: out of range".to_owned()));
+    assert_eq!(trace.requests.iter().map(|r| r.class).collect::<Vec<_>>(), [0, 0, 1]);
+    let alibaba = b"t1,1,j1,1,Terminated,100,200,100,0.5\nt1,1,j1,1,Terminated,101,200,100,0.5\n";
+    let trace =
+        read("alibaba.csv", alibaba, &AZURE.replace("azure-functions-2021", "alibaba-2018-batch-task"));
+    let trace = trace.expect("usable");
+    assert_eq!(
+        (times(&trace), trace.requests[0].object == trace.requests[1].object),
+        (vec![0, 1_000_000], true)
+    );
+}
+
+#[test]
+fn rows_that_cannot_be_used_are_counted_by_column_and_lose_nothing_else() {
+    let text = b"app,func,end_timestamp,duration\na,f,2.0,1.0\na,f,,1.0\na,f,soon,1.0\n,f,3.0,1.0\na,f,3.0\na,f,-1,0\n\xff,f,3.0,1.0\na,f,nan,1\na,f,9.0,1.0,more\n";
+    let trace = read("bad.csv", text, AZURE).expect("usable");
+    assert_eq!((trace.counts.rows, trace.counts.used, times(&trace)), (9, 2, vec![0, 7_000_000]));
+    let skipped: Vec<(&str, u64, &str)> = trace
+        .counts
+        .skipped
+        .iter()
+        .map(|(column, (count, why))| (column.as_str(), *count, why.as_str()))
+        .collect();
+    let wanted = [
+        ("app", 1, "line 5: missing"),
+        ("duration", 1, "line 6: missing"),
+        ("end_timestamp", 4, "line 3: missing"),
+        ("line", 1, "line 8: not UTF-8"),
+    ];
+    assert_eq!(skipped, wanted);
+    let sum: u64 = trace.counts.skipped.values().map(|(count, _)| count).sum();
+    assert_eq!(trace.counts.used + trace.counts.other + trace.counts.unclassed + sum, trace.counts.rows);
+    let none = read("none.csv", b"app,func,end_timestamp,duration\na,f,x,1\n", AZURE).expect_err("nothing");
+    assert!(
+        none.contains("no row can be used; 1 rows: 0 used")
+            && none.contains("1 skipped for end_timestamp (line 2: no number)"),
+        "{none}"
+    );
+    assert!(load(std::path::Path::new("/nowhere.csv"), Doc { file: "map.hcl", text: AZURE }).is_err());
+}
+
+#[test]
+fn rows_later_than_the_window_are_moved_and_told() {
+    let text = b"t,o\n10,a\n100,b\n200,c\n20,d\n";
+    let map =
+        "trace {\n reorder_s = 50\n time {\n column = \"t\"\n }\n object = \"o\"\n class \"piece\" {}\n}";
+    let trace = read("late.csv", text, map).expect("usable");
+    assert_eq!(times(&trace), [0, 90_000_000, 90_000_000, 190_000_000]);
+    assert_eq!((trace.counts.reordered, trace.counts.moved, trace.counts.moved_most), (0, 1, 80_000_000));
+}
+
+#[test]
+fn a_long_trace_is_sampled_at_its_rate() {
+    let mut text = String::from("t,o\n");
+    (0..36_000).for_each(|n| text += &format!("{},{}\n", n as f64 / 10.0, n % 50));
+    let map = "trace {\n window_s = 300\n slices = 30\n time {\n column = \"t\"\n }\n object = \"o\"\n class \"result\" {\n part = 0.3\n }\n class \"piece\" {}\n}";
+    let trace = read("long.csv", text.as_bytes(), map).expect("usable");
+    assert_eq!((trace.length, trace.slices), (300_000_000, 30));
+    assert!((2990..=3030).contains(&trace.requests.len()), "{}", trace.requests.len());
+    let (told, sampled, error) = trace.rates.errors()["all"];
+    assert!((told - 10.0).abs() < 0.01 && (sampled - 10.0).abs() < 0.1 && error.abs() < 0.01);
+    assert!(times(&trace).windows(2).all(|pair| pair[0] <= pair[1]));
+    // An object is wholly of one class.
+    let mut of: BTreeMap<u64, usize> = BTreeMap::new();
+    assert!(trace.requests.iter().all(|r| *of.entry(r.object).or_insert(r.class) == r.class));
+    assert!(of.values().any(|class| *class == 0) && of.values().any(|class| *class == 1));
+}
+
+#[test]
+fn maps_that_cannot_be_meant_are_errors_with_their_place() {
+    let text = b"t,o\n1,a\n";
+    for (map, wanted) in [
+        ("trace {\n format = \"azure\"\n}", "map.hcl:2:11: no format \"azure\"; "),
+        ("trace {\n class \"piece\" {}\n}", "map.hcl:1:1: no time block"),
+        (
+            "trace {\n time {\n column = \"tt\"\n }\n object = \"o\"\n class \"p\" {}\n}",
+            "map.hcl:3:11: no column \"tt\"; did you mean \"t\"?",
+        ),
+        (
+            "trace {\n time {\n column = \"t\"\n unit = \"h\"\n }\n object = \"o\"\n class \"p\" {}\n}",
+            "map.hcl:3:11: unit \"h\" is none of s, ms, us, ns",
+        ),
+        ("trace {\n time {\n column = \"t\"\n }\n class \"p\" {}\n}", "map.hcl:1:1: object names no columns"),
+        ("trace {\n time {\n column = \"t\"\n }\n object = \"o\"\n}", "map.hcl:1:1: no class block"),
+        (
+            "trace {\n header = false\n class \"p\" {}\n}",
+            "map.hcl:1:1: without a header the columns have to be listed",
+        ),
+        (
+            "trace {\n time {\n column = \"t\"\n }\n object = \"o\"\n class \"p\" {\n part = 2\n }\n}",
+            "map.hcl:7:9: part wants a number from 0 to 1",
+        ),
+        (
+            "trace {\n time {\n column = \"t\"\n }\n object = \"o\"\n class \"p\" {\n one_of = \"a\"\n }\n}",
+            "map.hcl:6:2: a class names a column together with",
+        ),
+    ] {
+        let error = read("map.csv", text, map).expect_err(map);
+        assert!(error.starts_with(wanted), "{error:?}, not {wanted:?}");
+    }
+}
--- /dev/null
+++ b/tests/lab.rs
@@ -0,0 +1,77 @@
+//! The laboratory from the command line: a made-up trace replayed over the real front, reported per class.
+
+use std::process::{Command, Output};
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_dahliatrack"))
+        .arg("lab")
+        .args(args)
+        .output()
+        .expect("the program starts")
+}
+
+fn report(output: &Output) -> serde_json::Value {
+    assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
+    serde_json::from_slice(&output.stdout).expect("JSON")
+}
+
+#[test]
+fn a_trace_is_replayed_and_each_request_has_one_end() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("lab-replay");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (trace, map, page) = (folder.join("t.csv"), folder.join("map.hcl"), folder.join("r.html"));
+    let made = lab(&["trace", "--seconds", "400", "--rate", "40", "--objects", "200"]).stdout;
+    std::fs::write(&trace, &made).expect("a file");
+    assert_eq!(made, lab(&["trace", "--seconds", "400", "--rate", "40", "--objects", "200"]).stdout);
+    let text = std::fs::read_to_string("deploy/trace-map.hcl").expect("the example");
+    std::fs::write(&map, text.replace("window_s  = 600", "window_s = 40")).expect("a file");
+    let [trace, map, page] = [&trace, &map, &page].map(|path| path.display().to_string());
+    let args = ["replay", &trace, "--map", &map, "--speed", "10", "--format", "json", "--html", &page];
+    let output = lab(&args);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let json = text.lines().next().expect("a report");
+    assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
+    let report: serde_json::Value = serde_json::from_str(json).expect("JSON");
+    assert_eq!((&report["trace_s"], &report["slices"]), (&40.0.into(), &20.into()));
+    let classes = report["classes"].as_array().expect("classes");
+    let count = |class: &serde_json::Value, key: &str| class[key].as_u64().expect("a count");
+    for class in classes {
+        let ends: u64 =
+            ["served", "refused", "failed", "unanswered"].iter().map(|key| count(class, key)).sum();
+        assert_eq!((ends, count(class, "unanswered")), (count(class, "sent"), 0), "{class}");
+        // Some hundred requests of bursts: the sample's rate is near, as a whole it is nearer.
+        assert!(class["rate"][2].as_f64().expect("an error").abs() < 0.5, "{class}");
+    }
+    let all = |key: &str| classes.iter().map(|class| count(class, key)).sum::<u64>();
+    assert!(all("sent") > 1000 && all("served") * 10 > all("sent") * 9, "{report}");
+    let html = std::fs::read_to_string(&page).expect("a page");
+    assert!(html.contains("<svg") && html.contains("<td>result</td>") && !html.contains("{{"));
+}
+
+#[test]
+fn a_demo_with_faults_ends_with_a_report() {
+    let report = report(&lab(&["demo", "--seconds", "4", "--faults", "3", "--format", "json"]));
+    let classes = report["classes"].as_array().expect("classes");
+    assert_eq!(classes.len(), 4);
+    assert!(!report["faults"].as_array().expect("faults").is_empty());
+    assert!(report["upstream"][0].as_u64().expect("a count") > 100);
+}
+
+#[test]
+fn what_cannot_be_replayed_is_an_error_with_its_place() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("lab-errors");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (trace, map) = (folder.join("t.csv"), folder.join("map.hcl"));
+    std::fs::write(&trace, "app,func,end_timestamp,duration\na,f,2,1\n").expect("a file");
+    let names = [&trace, &map].map(|path| path.display().to_string());
+    for (text, code, wanted) in [
+        ("trace {\n format = \"azure\"\n}", 2, "map.hcl:2:11: no format \"azure\""),
+        ("trace {\n format = \"azure-functions-2021\"\n class \"pieces\" {}\n}", 1, "no class \"pieces\""),
+    ] {
+        std::fs::write(&map, text).expect("a file");
+        let output = lab(&["replay", &names[0], "--map", &names[1]]);
+        let error = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(code), "{error}");
+        assert!(error.contains(wanted), "{error}");
+    }
+}
