--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -6,7 +6,7 @@
 use super::debounce::{Debounce, Urgency};
 use super::listen::{listen, News};
 use super::model::{Kind, Model, ModelError, Snapshot};
-use super::session::{Ask, Meaning, Reply, Session, Variant};
+use super::session::{Ask, Meaning, Rejections, Reply, Session, Variant};
 use super::settings::ControlSettings;
 use super::wire;
 use crate::config::located::Doc;
@@ -18,10 +18,11 @@
 use envoy_types::pb::envoy::service::discovery::v3::{
     DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse,
 };
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpSocket;
 use tokio::sync::{mpsc, watch};
@@ -198,6 +199,7 @@
         figures: Arc::clone(&figures),
         most: settings.most_clients,
         stopping: stopping.clone(),
+        remembered: Remembered::default(),
     };
     let mut stopped = stopping;
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
@@ -270,8 +272,12 @@
     }
 }
 
+/// What clients rejected, by node, for their next streams; the smallest name goes where there are too many.
+type Remembered = Arc<Mutex<BTreeMap<String, Rejections>>>;
+
 /// What every stream needs.
 struct Service {
+    remembered: Remembered,
     snapshots: watch::Receiver<Arc<Snapshot>>,
     begun: Arc<AtomicU64>,
     figures: Arc<Figures>,
@@ -372,6 +378,7 @@
             begun: Arc::clone(&self.begun),
             figures: Arc::clone(&self.figures),
             stopping: self.stopping.clone(),
+            remembered: (Arc::clone(&self.remembered), 2 * self.most),
             session: None,
             node: String::new(),
             counts: [0; 3],
@@ -414,6 +421,8 @@
     begun: Arc<AtomicU64>,
     figures: Arc<Figures>,
     stopping: watch::Receiver<bool>,
+    /// With how many nodes it may hold.
+    remembered: (Remembered, usize),
     session: Option<Session>,
     node: String,
     /// Sent, ACKed, NACKed.
@@ -481,8 +490,12 @@
                 let text = crate::config::located::unknown("point", point, known);
                 return Err(Status::invalid_argument(format!("node.locality.zone: {text}")));
             }
-            self.session = Some(Session::new(M::VARIANT, point, snapshot.epoch));
+            let mut session = Session::new(M::VARIANT, point, snapshot.epoch);
             self.node = request.node().map(|node| node.id.clone()).unwrap_or_default();
+            if let Some(rejections) = self.remembered().get(&self.node) {
+                session.remember(rejections.clone());
+            }
+            self.session = Some(session);
         }
         let ask = request.ask();
         if ask.names.len() + ask.leaves.len() + ask.has.len() > MOST_NAMES {
@@ -501,8 +514,23 @@
                 self.figures.nacks.fetch_add(1, Ordering::Relaxed);
                 warn!(node = %self.node, ?kind, seq, error, "a view was rejected; it is not sent there again");
             }
-            Meaning::Subscribed | Meaning::Stale => {}
+            Meaning::Subscribed | Meaning::Stale => return Ok(()),
+        }
+        let rejections = session.rejections();
+        let most = self.remembered.1;
+        let mut remembered = self.remembered();
+        if rejections.is_empty() || self.node.is_empty() {
+            remembered.remove(&self.node);
+        } else {
+            remembered.insert(self.node.clone(), rejections);
+            while remembered.len() > most {
+                remembered.pop_first();
+            }
         }
         Ok(())
     }
+
+    fn remembered(&self) -> MutexGuard<'_, BTreeMap<String, Rejections>> {
+        self.remembered.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/src/control/session.rs
+++ b/src/control/session.rs
@@ -125,6 +125,18 @@
     refused: BTreeMap<String, u64>,
 }
 
+/// What a client rejected, to be kept for its next stream: by kind, the view (state of the world), and the resources
+/// with their versions (incremental).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rejections([(Option<u64>, BTreeMap<String, u64>); 3]);
+
+impl Rejections {
+    /// Whether nothing was rejected.
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().all(|(view, resources)| view.is_none() && resources.is_empty())
+    }
+}
+
 /// One stream.
 #[derive(Debug)]
 pub struct Session {
@@ -141,6 +153,21 @@
         Session { variant, point: point.to_owned(), epoch, nonces: 0, kinds: Default::default() }
     }
 
+    /// Goes on with what the same client rejected on an earlier stream of this run: that is not sent again either.
+    pub fn remember(&mut self, rejections: Rejections) {
+        for (known, (view, resources)) in self.kinds.iter_mut().zip(rejections.0) {
+            (known.rejected, known.refused) = (view, resources);
+        }
+    }
+
+    /// What the client has rejected and not been told anew.
+    pub fn rejections(&self) -> Rejections {
+        Rejections(std::array::from_fn(|kind| {
+            let known = &self.kinds[kind];
+            (known.rejected, known.refused.clone())
+        }))
+    }
+
     /// The point whose view it gets.
     pub fn point(&self) -> &str {
         &self.point
@@ -241,7 +268,7 @@
     fn settle(&mut self, out: Out, error: Option<String>) -> Meaning {
         match error {
             None => {
-                self.acked = Some(out.seq);
+                (self.acked, self.rejected) = (Some(out.seq), None);
                 for (name, version) in out.sent {
                     match version {
                         Some(version) => self.has.insert(name, Some(version)),
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -338,6 +338,31 @@
     assert_eq!(next.resources.iter().map(|r| r.name.as_str()).collect::<Vec<_>>(), ["cache/north"]);
 }
 
+#[test]
+fn a_rejected_view_does_not_come_back_by_another_stream() {
+    for variant in [Variant::StateOfTheWorld, Variant::Incremental] {
+        let bench = &mut Bench::new();
+        let mut stream = Session::new(variant, "north", 0xe);
+        stream.ask(Kind::Endpoints, first(""), 0);
+        let bad = stream.next(&bench.snapshot()).expect("the view");
+        stream.ask(Kind::Endpoints, nack(&bad, "no"), 0);
+        let mut again = Session::new(variant, "north", 0xe);
+        assert!(again.rejections().is_empty() && !stream.rejections().is_empty());
+        again.remember(stream.rejections());
+        again.ask(Kind::Endpoints, first(""), 0);
+        let told = again.next(&bench.snapshot()).map(|reply| reply.resources.len()).unwrap_or(0);
+        assert_eq!(told, 0, "{variant:?}");
+        let mut next = Session::new(variant, "north", 0xe);
+        next.remember(stream.rejections());
+        next.ask(Kind::Endpoints, first(""), 0);
+        let cache = bench.cache(0);
+        bench.health(&cache, "draining");
+        let reply = next.next(&bench.snapshot()).expect("another view");
+        next.ask(Kind::Endpoints, ack(&reply), 0);
+        assert!(reply.seq > bad.seq && next.acked(Kind::Endpoints) == Some(reply.seq));
+    }
+}
+
 #[test]
 fn a_client_of_this_run_is_told_what_is_newer_and_one_of_another_waits_for_the_feed() {
     let mut bench = Bench::new();
--- a/src/lab/caches.rs
+++ b/src/lab/caches.rs
@@ -202,14 +202,14 @@
                 state = waited.unwrap_or_else(PoisonError::into_inner).0;
                 continue;
             }
-            if let Some(((at, _), due)) = state.due.pop_first() {
-                self.happen(&mut state, at, due);
+            if let Some((_, due)) = state.due.pop_first() {
+                self.happen(&mut state, due);
             }
         }
         state.links.clear();
     }
 
-    fn happen(&self, state: &mut State, at: i64, due: Due) {
+    fn happen(&self, state: &mut State, due: Due) {
         let now = now();
         match due {
             Due::Answer(number, link, id) => {
@@ -238,7 +238,6 @@
             }
             Due::Settle(purged) => {
                 state.fleet.hosts.iter_mut().for_each(|host| host.copies.retain(|_, born| *born >= purged));
-                let _ = at;
             }
         }
     }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -198,6 +198,35 @@
     assert_eq!(refused.count(), 2);
 }
 
+#[tokio::test]
+async fn a_rejection_is_remembered_when_the_client_comes_back() {
+    let feed = StandInFeed::default();
+    let (running, hosts) = begin(&Shape::default(), CONTROL, &feed, None).await.expect("it starts");
+    let picky = plan(&running, "picky", "north", Variant::StateOfTheWorld);
+    let mut first = Hand::open(&picky).await.expect("a stream");
+    first.subscribe(Kind::Endpoints, &Had::default()).await;
+    let (kind, _, nonce, _) = first.receive(&mut Had::default()).await.expect("no refusal").expect("a view");
+    first.answer(kind, "", &nonce, Some("no")).await;
+    while running.figures.nacks.load(Ordering::SeqCst) == 0 {
+        tokio::task::yield_now().await;
+    }
+    drop(first);
+    let mut back = Hand::open(&picky).await.expect("a stream");
+    back.subscribe(Kind::Endpoints, &Had::default()).await;
+    // What it gets first is the next view: the one that it rejected is not sent again.
+    let north = caches(&hosts, "north");
+    let mut other_had = Had::default();
+    let mut other =
+        Hand::open(&plan(&running, "other", "north", Variant::StateOfTheWorld)).await.expect("a stream");
+    other.subscribe(Kind::Endpoints, &other_had).await;
+    view(&mut other, &mut other_had, Kind::Endpoints).await;
+    feed.tell_health(&north[0], "draining");
+    let newer = view(&mut other, &mut other_had, Kind::Endpoints).await;
+    let got = view(&mut back, &mut Had::default(), Kind::Endpoints).await;
+    assert_eq!((&got.version, got.servers.contains(&name(&north[0]))), (&newer.version, false));
+    running.stop().await.expect("it ends well");
+}
+
 #[tokio::test]
 async fn a_client_that_does_not_answer_costs_one_response_and_then_gets_the_newest() {
     let feed = StandInFeed::default();
