--- a/src/expect/judge.rs
+++ b/src/expect/judge.rs
@@ -435,14 +435,16 @@
         // The module draws among the ready caches of its point, and fills what it draws from the object's home,
         // which is one of them too. Whatever holds for all of them holds for each draw.
         let eligible = self.site.ready_caches(servers, self.point);
-        let set = |rule: &Rule| {
-            let sets = [Rule::GoesTo, Rule::NeverGoesTo, Rule::FillsFrom, Rule::NeverFillFrom];
-            sets.iter().any(|kind| kind(Vec::new()).word() == rule.word())
+        let of_servers = |rule: &Rule| {
+            matches!(
+                rule,
+                Rule::GoesTo(_) | Rule::NeverGoesTo(_) | Rule::FillsFrom(_) | Rule::NeverFillFrom(_)
+            )
         };
         let holds = |rule: &Rule, server: ServerId| self.wrong(rule, server, Some(server), 1).is_none();
         let bounded = rules
             .iter()
-            .all(|rule| set(&rule.value) && eligible.iter().all(|server| holds(&rule.value, *server)));
+            .all(|rule| of_servers(&rule.value) && eligible.iter().all(|server| holds(&rule.value, *server)));
         if bounded {
             return Choices::Bounded { eligible: eligible.len() };
         }
--- a/src/lab/replay.rs
+++ b/src/lab/replay.rs
@@ -5,7 +5,7 @@
 use super::feed::StandInFeed;
 use super::site::{config, Shape};
 use super::thrift_client::{self, Answered};
-use crate::sim::faults::{Fault, What};
+use crate::sim::faults::Fault;
 use crate::trace::Trace;
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -427,10 +427,8 @@
         service.rate = errors.get(class).copied().unwrap_or_default();
         service
     };
-    let faults = plan
-        .faults
-        .iter()
-        .map(|fault| format!("{:.1} s: {}", fault.at_ms as f64 / 1000.0, fault_words(&fault.what)));
+    let faults =
+        plan.faults.iter().map(|fault| format!("{:.1} s: {:?}", fault.at_ms as f64 / 1000.0, fault.what));
     Report {
         trace_s: trace.length as f64 / 1e6,
         took_s,
@@ -444,7 +442,3 @@
         behind_ms: behind.as_secs_f64() * 1000.0,
     }
 }
-
-fn fault_words(what: &What) -> String {
-    format!("{what:?}")
-}
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -622,11 +622,7 @@
 
     /// Whether another host reaches it.
     fn is_there(&self, number: usize) -> bool {
-        !self.fleet.hosts[number].dead && self.silent_until(number) <= self.now
-    }
-
-    fn silent_until(&self, number: usize) -> i64 {
-        self.fabric.silent_until(address(number as u16))
+        is_there(&self.fabric, self.now, &self.fleet, number)
     }
 
     fn answer(&mut self, number: usize, link: u64, id: &str) {
@@ -638,9 +634,7 @@
             return self.fabric.send(link, b"no line of the protocol at all\r\n");
         }
         let (fabric, now) = (self.fabric.clone(), self.now);
-        let is_there = |fleet: &Fleet, host: usize| {
-            !fleet.hosts[host].dead && fabric.silent_until(address(host as u16)) <= now
-        };
+        let is_there = |fleet: &Fleet, host: usize| is_there(&fabric, now, fleet, host);
         let (word, fields, body) = self.fleet.outcome(number, &fetch, now, &is_there);
         if matches!(word, "404" | "503" | "504") {
             self.rules.never_ran(number, link, id);
@@ -871,3 +865,8 @@
         }
     }
 }
+
+/// Whether a host's process is there and not cut off.
+fn is_there(fabric: &Fabric, now: i64, fleet: &Fleet, number: usize) -> bool {
+    !fleet.hosts[number].dead && fabric.silent_until(address(number as u16)) <= now
+}
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -259,8 +259,7 @@
         };
         // An object is wholly of a part or not at all.
         let drawn = mix(object ^ (place as u64 + 1)) as f64 / u64::MAX as f64;
-        matches && drawn < rule.part.max(f64::MIN_POSITIVE) && rule.part > 0.0
-            || (matches && rule.part >= 1.0)
+        matches && (rule.part >= 1.0 || drawn < rule.part)
     };
     map.classes.iter().enumerate().position(fits)
 }
