Learn what links bear where weights tell nothing, and keep fills out of lateness

Refusals now carry their cause (in /stats and the log): all were 'crowd'. Its settings say weights are silent, so that each is 1, and that was read as a link of one full-pace answer (logic.rs capacity, cold_budget). What links bear is now learned. Behind it lay a loop: fills' waits and their pace over a full location link were booked as caches' lateness, and attempts were overdue by a fixed time; homes moved, which made more fills (hits 66 to 43 %, 503 closings in 25 s). Lateness is of copies alone, sending times come from the bytes, and overdue follows RFC 6298.

--- a/src/bin/dahliatrack-wirehost/codec.rs
+++ b/src/bin/dahliatrack-wirehost/codec.rs
@@ -165,8 +165,18 @@
                 let note = self.note()?;
                 let (elapsed, finished, waited) = (self.time()?, self.u8()? != 0, self.time()?);
                 let load = self.load()?;
-                let outcome =
-                    Outcome { request, attempt, server, result, note, elapsed, waited, finished, load };
+                let outcome = Outcome {
+                    request,
+                    attempt,
+                    server,
+                    result,
+                    note,
+                    elapsed,
+                    waited,
+                    sending: 0,
+                    finished,
+                    load,
+                };
                 Event::Outcome(outcome)
             }
             2 => Event::Timer(self.u32()?),
@@ -279,7 +289,7 @@
             Action::Send { request, server, timeout } => {
                 self.code(1, instance).u64(request.0).time(*timeout).u32(server.0);
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 self.code(2, instance).u64(request.0).time(*retry_after);
             }
             Action::Fail(request) => {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -57,6 +57,8 @@
     limits: Limits,
     feed: SocketAddr,
     #[serde(default)]
+    flow_bytes_per_s: f64,
+    #[serde(default)]
     admin: Option<SocketAddr>,
     known: events::Batch,
     settings: Value,
@@ -107,7 +109,8 @@
         json.end().map_err(|e| e.to_string())?;
         let seed =
             u64::from_str_radix(&wire.seed, 16).map_err(|_| format!("seed: {:?} is not hex", wire.seed))?;
-        let settings = settings::parse(wire.settings.to_string().as_bytes())?;
+        let mut settings = settings::parse(wire.settings.to_string().as_bytes())?;
+        settings.names.flow_bytes_per_s = wire.flow_bytes_per_s;
         settings.settings.check().map_err(|e| format!("settings: {e}"))?;
         if settings.names.classes.iter().any(String::is_empty) {
             return Err("settings: a class has no name".into());
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -14,6 +14,8 @@
     ordinal: u32,
     rules: WireRules,
     #[serde(default)]
+    weights: String,
+    #[serde(default)]
     skus: Vec<String>,
     #[serde(default)]
     failure_domains: Vec<String>,
@@ -52,6 +54,8 @@
     pub streams_per_conn: usize,
     /// Requests that may be open.
     pub most_held: usize,
+    /// Top pace of one answer's bytes, a second; 0: not told.
+    pub flow_bytes_per_s: f64,
 }
 
 /// The settings message, read.
@@ -255,6 +259,7 @@
         connect_timeout: micros(limits.connect_timeout),
         streams_per_conn: limits.streams_per_conn.max(1),
         most_held: limits.most_held,
+        flow_bytes_per_s: 0.0,
     };
     let settings = Settings {
         routers: wire.balancers,
@@ -264,6 +269,7 @@
         hub_by_zone: domain.hub_by_zone.iter().copied().map(ZoneId).collect(),
         link_kb_per_s: domain.pipe_kb_per_s.clone(),
         pace_kb_per_s: domain.pace_kb_per_s,
+        weighed: wire.weights != "silent",
         classes,
         parent_kind: u16::try_from(domain.second_tier_kind).ok(),
         origin_kind: domain.root_kind,
--- a/src/control/model.rs
+++ b/src/control/model.rs
@@ -595,6 +595,7 @@
         _ => None,
     })?;
     let outcome = Outcome {
+        sending: 0,
         request: id,
         attempt: 0,
         server: get.server,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -69,6 +69,8 @@
         pause: Micros,
         /// Whether its time was over.
         late: bool,
+        /// What stood in its way.
+        why: Why,
     },
     /// Failed; promises nothing.
     Failed {
@@ -109,6 +111,8 @@
     pub note: Option<Note>,
     /// How long the fill waited for its first byte.
     pub waited: Micros,
+    /// How long the answer's bytes take at full pace; 0: not known.
+    pub sending: Micros,
     /// The load report.
     pub load: Vec<f32>,
     /// The copy, with [`AttemptResult::Ok`].
@@ -118,7 +122,7 @@
 impl End {
     /// An ending about which nothing more is known.
     pub fn bare(result: AttemptResult) -> Self {
-        End { result, note: None, waited: 0, load: Vec::new(), copy: Copy::default() }
+        End { result, note: None, waited: 0, sending: 0, load: Vec::new(), copy: Copy::default() }
     }
 }
 
@@ -216,6 +220,8 @@
     held: usize,
     /// By class; a request that its client abandons before its answer begins is in none.
     answered: Vec<Answered>,
+    /// Refusals by what stood in the way, in the order of [`Why::ALL`].
+    refused: [u64; Why::ALL.len()],
 }
 
 impl Core {
@@ -237,6 +243,7 @@
             commands: VecDeque::new(),
             held: 0,
             answered: Vec::new(),
+            refused: [0; Why::ALL.len()],
         })
     }
 
@@ -343,6 +350,14 @@
             self.answered.resize(class + 1, Answered::default());
         }
         self.answered[class].count(answer);
+        if let Final::Refused { why, .. } = answer {
+            self.refused[*why as usize] += 1;
+        }
+    }
+
+    /// The refusals by what stood in the way, each with its name.
+    pub fn refused(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        Why::ALL.iter().map(|(why, name)| (*name, self.refused[*why as usize]))
     }
 
     /// The final answers to requests of this class.
@@ -537,7 +552,12 @@
         if !matches!(request.state, State::Open) {
             return false;
         }
-        debug!("{key} class {} answer {}", request.ask.class.0, name(&answer));
+        match &answer {
+            Final::Refused { why, .. } => {
+                debug!("{key} class {} answer refused {why:?}", request.ask.class.0)
+            }
+            _ => debug!("{key} class {} answer {}", request.ask.class.0, name(&answer)),
+        }
         request.state = State::Chosen(answer);
         self.held += bytes(&request.state);
         self.commands.push_back(Command::Answer(key));
@@ -554,9 +574,10 @@
         }
         let finished = !self.requests.get(request).is_some_and(|r| matches!(r.state, State::Open));
         let (server, number, source) =
-            (attempt.server.0, attempt.number, attempt.get.map(|get| get.source.0));
+            (attempt.server.0, attempt.number, attempt.get.as_ref().map(|get| get.source.0));
         let (us, waited, result, note) = (now - attempt.sent, end.waited, end.result, end.note);
-        debug!("{request} attempt {number} at {server} from {source:?}: {result:?} {note:?} us={us} waited={waited}");
+        let sending = end.sending;
+        debug!("{request} attempt {number} at {server} from {source:?}: {result:?} {note:?} us={us} waited={waited} sending={sending}");
         self.events.push_back(Event::Outcome(Outcome {
             request: attempt.request,
             attempt: attempt.number,
@@ -565,6 +586,7 @@
             note: end.note,
             elapsed: now - attempt.sent,
             waited: end.waited,
+            sending: end.sending,
             finished,
             load: end.load,
         }));
@@ -586,9 +608,10 @@
         match action {
             Action::Send { request, server, timeout } => self.send(now, request, server, timeout, None, due),
             Action::Get(get) => self.send(now, get.request, get.server, get.timeout, Some(get), due),
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, why } => {
                 let late = self.is_late(now, request);
-                self.answer(Key::from_number(request.0), Final::Refused { pause: retry_after.max(0), late });
+                let refused = Final::Refused { pause: retry_after.max(0), late, why };
+                self.answer(Key::from_number(request.0), refused);
             }
             Action::Fail(request) => {
                 let late = self.is_late(now, request);
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -45,6 +45,7 @@
             hub_by_zone: vec![ZoneId(1); 2],
             link_kb_per_s: vec![0.0; 2],
             pace_kb_per_s: 1000.0,
+            weighed: true,
             classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
             parent_kind: Some(1),
             origin_kind: 2,
@@ -163,16 +164,19 @@
     bench.core.members(0, ListKind::Delta, removed, &mut bench.due);
     let request = bench.ask(0, 0, None);
     assert_eq!(bench.commands().0, ["answer"]);
-    assert_eq!(bench.take(0, request), Some(Final::Refused { pause: 250 * MS, late: false }));
+    assert_eq!(
+        bench.take(0, request),
+        Some(Final::Refused { pause: 250 * MS, late: false, why: Why::NoServer })
+    );
 }
 
 #[test]
 fn when_patience_ends_each_request_has_its_answer() {
     // A write that never left surely did not run and is refused; one that may have run has failed.
     for (class, leaves, wanted) in [
-        (0, true, Final::Refused { pause: 250 * MS, late: true }),
+        (0, true, Final::Refused { pause: 250 * MS, late: true, why: Why::Late }),
         (1, true, Final::Failed { late: true }),
-        (1, false, Final::Refused { pause: 250 * MS, late: true }),
+        (1, false, Final::Refused { pause: 250 * MS, late: true, why: Why::Late }),
     ] {
         let mut bench = Bench::new();
         let request = bench.ask(0, class, None);
--- a/src/expect/explore.rs
+++ b/src/expect/explore.rs
@@ -268,6 +268,7 @@
             note,
             elapsed: after,
             waited,
+            sending: 0,
             finished: result == AttemptResult::Ok,
             load: Vec::new(),
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -41,6 +41,8 @@
     pub link_kb_per_s: Vec<f64>,
     /// Top pace of one answer, KB a second; the unit of the servers' weights.
     pub pace_kb_per_s: f64,
+    /// Whether a server's weight tells its link; else it says nothing, and what a link bears is learned.
+    pub weighed: bool,
     /// The classes of requests.
     pub classes: Vec<Class>,
     /// Which kind of machine is a parent, if there are parents.
@@ -329,6 +331,8 @@
     pub elapsed: Micros,
     /// How long the fill waited for its first byte, where that is told.
     pub waited: Micros,
+    /// How long the answer's bytes take at full pace; 0 where that is not known.
+    pub sending: Micros,
     /// Whether the request is over.
     pub finished: bool,
     /// The load report, if one came.
@@ -415,6 +419,41 @@
     pub renew: bool,
 }
 
+/// What stands in the way of a request that is refused. [`Why::ALL`] has them in the order of their numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// No server that may be asked is ready, or none that is left keeps the rules.
+    NoServer,
+    /// Its home is crowded: it is predicted to be late there.
+    Crowd,
+    /// What could serve it is cold, and its budget is spent.
+    Cold,
+    /// Too many fetches are out already.
+    Fetches,
+    /// The budget of further attempts is spent.
+    Retries,
+    /// It has had its attempts, or failed at too many servers.
+    Attempts,
+    /// Its time is over.
+    Late,
+    /// The edge proxy itself is full, or stops: the module was not asked.
+    Full,
+}
+
+impl Why {
+    /// All of them, with their names for operators.
+    pub const ALL: [(Why, &'static str); 8] = [
+        (Why::NoServer, "no_server"),
+        (Why::Crowd, "crowd"),
+        (Why::Cold, "cold"),
+        (Why::Fetches, "fetches"),
+        (Why::Retries, "retries"),
+        (Why::Attempts, "attempts"),
+        (Why::Late, "late"),
+        (Why::Full, "full"),
+    ];
+}
+
 /// Something that a router is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -435,6 +474,8 @@
         request: RequestId,
         /// How long the client should wait; 0: no advice.
         retry_after: Micros,
+        /// What stood in its way.
+        why: Why,
     },
     /// Final answer: failed; promises nothing.
     Fail(RequestId),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,7 +35,7 @@
 pub use interface::{
     Action, AttemptResult, Class, ClassId, DedupScope, Effect, Event, Get, GroupId, Limits, ListKind, Member,
     Micros, Note, Notes, ObjectId, Outcome, Purge, Request, RequestId, Rules, ServerId, ServerState,
-    Settings, Siblings, ZoneId,
+    Settings, Siblings, Why, ZoneId,
 };
 pub use logic::Router;
 pub use validate::SettingsError;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,15 +1,14 @@
 //! Every decision of the router, and every tuned value. Its types are in `src/interface.rs`.
 //!
-//! Read from top to bottom: the constants, the state, the request path (home, directory, source), health,
-//! and the guards of the five rules. The ordinary path is Fongta and Somchit's Popular Directory; what
+//! Read from top to bottom: the constants, the state, the request path (home, source), the directory, health,
+//! the guards of the five rules, the list. The ordinary path is Fongta and Somchit's Popular Directory; what
 //! departs from it, and when, is in docs/design.md.
 
-use crate::{interface::*, SettingsError};
+use crate::{interface::*, spread::mix, SettingsError};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Length of a second on the module's clock.
 const SECOND: Micros = 1_000_000;
 /// Token of the timer that renews a failed subscription; the other timers are ticks.
 const WATCH_AGAIN: u32 = 1;
@@ -43,6 +42,8 @@
 const LATE_LEAST: f64 = 0.5;
 /// Lateness that is booked to a server which fails or falls silent: it is left with trials only.
 const LATE_MOST: f64 = 3.0;
+/// Deviations beyond the usual time that an answer takes at most, as a rule (RFC 6298).
+const DEVIATIONS: f64 = 4.0;
 /// Overdue attempts that must be out at once for a server to be silent: one may just be large.
 const SILENT_LEAST: usize = 2;
 /// A server that fails outright gets one trial each time this has passed, us.
@@ -126,8 +127,7 @@
     /// For want of a fetch alone: after a miss its request waits for one.
     waits: bool,
     open: bool,
-    /// Called off or doubled because it was overdue.
-    rescued: bool,
+    rescued: bool, // called off or doubled because it was overdue
     /// The cache is to blame for how it ended, so it is asked again last.
     blamed: bool,
     /// It ended with an error of the cache's own, if it is not the request's.
@@ -141,8 +141,7 @@
 /// A request from its arrival until its last attempt has ended.
 struct Open {
     request: Request,
-    /// Those that held when it came.
-    limits: Limits,
+    limits: Limits, // those that held when it came
     arrived: Micros,
     attempts: Vec<Attempt>,
     finished: bool,
@@ -151,7 +150,6 @@
     may_have_run: Option<(Micros, ServerId)>,
 }
 
-/// What a directory entry knows of one object.
 #[derive(Default)]
 struct Popular {
     count: u32,
@@ -191,8 +189,10 @@
     halve_at: Micros,
     upkeep_at: Micros,
     ticking: bool,
-    /// Mean sending time by class, us, and how many samples it has.
-    mean: Vec<(f64, f64)>,
+    /// By class: mean sending time, us, and how many samples; smoothed whole time and deviation (RFC 6298).
+    mean: Vec<[f64; 4]>,
+    /// Full-pace answers that the caches' links were seen to bear for each weight, where no weight tells it.
+    borne: Option<f64>,
     /// When what was purged last.
     purged: BTreeMap<Purge, Micros>,
     retries: f64,
@@ -221,6 +221,7 @@
             upkeep_at: now + UPKEEP,
             ticking: false,
             mean: settings.classes.iter().map(untried).collect(),
+            borne: None,
             purged: BTreeMap::new(),
             retries: RETRY_MOST,
             fetches: 0,
@@ -257,8 +258,7 @@
             Event::Timer(_) => self.on_tick(now, out),
             Event::Probed { .. } | Event::Peer { .. } => {}
             Event::Purged { what, age } => {
-                let newest = self.purged.entry(what).or_insert(now - age);
-                *newest = (now - age).max(*newest);
+                self.purged.entry(what).and_modify(|at| *at = (now - age).max(*at)).or_insert(now - age);
             }
         }
         // Of those that wait the newest has the most time left.
@@ -272,8 +272,6 @@
         }
     }
 
-    // ---- The request path.
-
     fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         if usize::from(request.class.0) >= self.settings.classes.len() {
@@ -302,7 +300,7 @@
         let sound: Vec<_> = order.iter().copied().filter(|s| !self.servers[s].shut).collect();
         let spent = open.attempts.len() >= open.limits.max_attempts as usize;
         if spent || self.worth_until(open) <= now {
-            return self.give_up(now, id, out);
+            return self.give_up(now, id, if spent { Why::Attempts } else { Why::Late }, out);
         }
         let first = open.attempts.is_empty();
         let never_kept = self.class(request).never_kept || request.write;
@@ -310,11 +308,13 @@
         let blamed = |s: &ServerId| open.attempts.iter().filter(|a| a.server == *s && a.blamed).count();
         let blame = |s: &ServerId| (blamed(s), !self.is_sure(&self.servers[s], open));
         let home = order.iter().copied().filter(|s| self.usable(now, *s, open)).min_by_key(blame);
+        let cold = || order.iter().any(|s| self.cold_full(now, *s, request.class));
+        let why = home.map(|_| Why::Crowd).or_else(|| cold().then_some(Why::Cold)).unwrap_or(Why::NoServer);
         let home = home.filter(|s| !self.crowded(now, *s, open));
         // A parent is asked past the caches where that is allowed and no cache is ready.
         let past = self.source(now, open).filter(|_| self.settings.direct && self.caches.is_empty());
         let past = past.filter(|s| !self.crowded(now, *s, open) && self.may_send(now, open, *s));
-        let Some(server) = helper.or(home).or(past) else { return self.give_up(now, id, out) };
+        let Some(server) = helper.or(home).or(past) else { return self.give_up(now, id, why, out) };
         let source = match (helper, sound.first()) {
             (Some(_), Some(home)) => Some(*home),
             _ if self.is_cache(server) => self.source(now, open),
@@ -337,7 +337,7 @@
             no_parent_copy: false,
             renew: self.class(request).fresh > 0,
         };
-        let work = self.mean[usize::from(request.class.0)].0 / SECOND as f64;
+        let work = self.mean[usize::from(request.class.0)][0] / SECOND as f64;
         let (held, delegate) = (only_held || source.is_none(), helper.is_some());
         let (source, waits, open) = (get.source, only_held && !behind, true);
         self.fetches += usize::from(!held && !delegate);
@@ -389,8 +389,7 @@
         let among = |list: Vec<ServerId>| list.get(dice as usize % list.len().max(1)).copied();
         if entry.rest_until <= now && entry.count > self.threshold && live.len() < DELEGATES {
             let new = |s: &&ServerId| usable(s) && !live.iter().any(|d| d.server == **s);
-            let started = among(others.iter().filter(new).copied().collect());
-            if started.is_some() {
+            if let started @ Some(_) = among(others.iter().filter(new).copied().collect()) {
                 return started;
             }
         }
@@ -449,14 +448,14 @@
     }
 
     /// The final answer to a request that nothing more is tried for: at once, with the time to come back.
-    fn give_up(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+    fn give_up(&mut self, now: Micros, id: RequestId, why: Why, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id).filter(|open| !open.finished) else { return };
         if open.attempts.iter().any(|a| a.open) && open.arrived + open.request.patience > now {
             return; // one is still out and may answer
         }
         let retry_after = self.advice(open.request.class);
         out.push(match self.may_refuse(open) {
-            true => Action::Refuse { request: id, retry_after },
+            true => Action::Refuse { request: id, retry_after, why },
             false => Action::Fail(id),
         });
         self.finish(id, out);
@@ -472,7 +471,7 @@
     pub fn targets(&self) -> (usize, usize) {
         let listed = |s: &&Server| s.member.state != ServerState::Gone && self.is_cache(s.member.server);
         let caches: Vec<&Server> = self.servers.values().filter(listed).collect();
-        (caches.len(), caches.iter().filter(|s| s.shut || !ready(s)).count())
+        (caches.len(), caches.iter().filter(|s| s.shut || s.member.state != ServerState::Ready).count())
     }
 
     /// How long a client of the class should stay away that is refused; 0: no advice.
@@ -487,11 +486,10 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         if !open.finished {
             open.finished = true;
-            for (i, attempt) in open.attempts.iter().enumerate().filter(|(_, a)| a.open) {
-                let called_off = attempt.rescued && !open.limits.parallel;
-                if open.limits.cancel && !open.streaming && !called_off {
-                    out.push(Action::Cancel { request: id, attempt: i as u8 });
-                }
+            let may = open.limits.cancel && !open.streaming;
+            let out_still = |a: &Attempt| may && a.open && (!a.rescued || open.limits.parallel);
+            for (i, _) in open.attempts.iter().enumerate().filter(|(_, a)| out_still(a)) {
+                out.push(Action::Cancel { request: id, attempt: i as u8 });
             }
         }
         if open.attempts.iter().all(|a| !a.open) {
@@ -544,18 +542,16 @@
         }
         let hopeless = open.attempts.iter().filter(|a| a.erred).count() >= ERRORS_MOST;
         if hopeless || (o.result == AttemptResult::Miss && attempt.held) {
-            return self.give_up(now, o.request, out);
+            return self.give_up(now, o.request, if hopeless { Why::Attempts } else { Why::Fetches }, out);
         }
         let free = attempt.rescued || attempt.torn || (attempt.delegate && o.result == AttemptResult::Miss);
         if !free && self.retries < 1.0 {
-            return self.give_up(now, o.request, out);
+            return self.give_up(now, o.request, Why::Retries, out);
         }
         self.retries -= if free { 0.0 } else { 1.0 };
         self.place(now, o.request, out);
     }
 
-    // ---- The popular directory.
-
     /// Counts a request; a new object takes the place of the one with the smallest count.
     fn count(&mut self, object: Key) {
         if self.directory.len() >= DIRECTORY && !self.directory.contains_key(&object) {
@@ -567,8 +563,7 @@
 
     /// Books how a delegate's attempt ended: served, it stays or becomes one; else it no longer is.
     fn settle_delegate(&mut self, now: Micros, request: &Request, a: &Attempt, ok: bool) {
-        let server = a.server;
-        let Some(entry) = self.directory.get_mut(&key(request)) else { return };
+        let (server, Some(entry)) = (a.server, self.directory.get_mut(&key(request))) else { return };
         if !ok {
             entry.delegates.retain(|d| d.server != server);
             entry.rest_until = now + TRIAL_EVERY;
@@ -579,14 +574,28 @@
         }
     }
 
-    // ---- Health.
-
     /// Learns from how an attempt ended: the cache's lateness, the source's first byte, outright failures.
     fn learn(&mut self, now: Micros, o: &Outcome, request: &Request, attempt: &Attempt) {
         use AttemptResult::{Cancelled, ConnectFailed, Error, Full, Miss, Ok, Reset, Timeout};
-        let solo = self.solo(request);
+        let told = o.sending > 0 && !self.class(request).never_kept;
+        let solo = if told { o.sending as f64 } else { self.solo(request) };
         let slack = self.class(request).target as f64 / 4.0;
-        let late = ((o.elapsed as f64 + slack) / (solo + slack)).ln();
+        // What its source took is no lateness of the cache.
+        let own = (o.elapsed - o.waited).max(0) as f64;
+        let late = ((own + slack) / (solo + slack)).ln();
+        if o.result == Ok {
+            let [_, _, usual, off] = &mut self.mean[usize::from(request.class.0)];
+            let weights = if *usual > 0.0 { [0.25, 0.125] } else { [0.5, 1.0] };
+            smooth(off, weights[0], (o.elapsed as f64 - *usual).abs());
+            smooth(usual, weights[1], o.elapsed as f64);
+        }
+        if let Some(to) = self.servers.get(&o.server).filter(|_| o.result == Ok && !self.settings.weighed) {
+            // As many as are there, each at its part of full pace, are what its link carries (Little's law).
+            let there = (self.there(now, to) + 1.0) / to.member.weight.max(0.01);
+            let took = o.elapsed.max(1) as f64;
+            let borne = self.borne.get_or_insert(there * solo / took);
+            *borne += SMOOTHING * (there * solo - *borne * took) / took.max(4.0 * slack);
+        }
         let mute = self.settings.notes == Notes::None;
         let filling = !attempt.delegate && attempt.source != attempt.server;
         if filling && !attempt.held {
@@ -603,10 +612,9 @@
             self.fetched_at = now;
         }
         let filled = matches!(o.note, Some(Note::Filled | Note::FilledByOrigin));
-        // What is never kept is always filled: its own time is what its source did not take.
-        let own = if self.class(request).never_kept { o.elapsed - o.waited } else { o.elapsed };
-        if o.result == Ok && request.size_kb <= 0.0 && (!filled || self.class(request).never_kept) {
-            self.sample(request.class, own.max(0) as f64);
+        let by_source = matches!(o.note, Some(Note::SourceLost | Note::SourceRefused));
+        if o.result == Ok && request.size_kb <= 0.0 && (told || !filled || self.class(request).never_kept) {
+            self.sample(request.class, if told { solo } else { own });
         }
         if let Some(to) = self.servers.get_mut(&attempt.server) {
             if o.result == Ok || (attempt.blamed && !matches!(o.result, Error | Reset)) {
@@ -614,29 +622,25 @@
             }
             match o.result {
                 Ok | Miss | Full => {
-                    if to.shut {
-                        to.late = to.late.min(late.max(LATE_LEAST));
-                    }
+                    to.late = if to.shut { to.late.min(late.max(LATE_LEAST)) } else { to.late };
                     to.heard = now;
                     if to.failing < FAILING[1] || !to.shut {
                         (to.shut, to.shut_until) = (false, now);
                     }
                 }
                 ConnectFailed => to.close(now),
-                // One answer that can't be read ends all that is open on its connection, and any cache may
-                // send one: it counts once, as one failure, however many attempts end with it.
+                // One answer that can't be read ends all that is open on its connection: it counts once.
                 Reset if to.broke != now => {
                     to.broke = now;
                     to.fail(now);
                 }
                 _ => {}
             }
-            if o.result == Ok {
+            if o.result == Ok && !filled {
                 smooth(&mut to.late, SMOOTHING, late.min(LATE_MOST));
             }
         }
         if let Some(from) = self.servers.get_mut(&attempt.source).filter(|_| filling) {
-            let source_failed = matches!(o.note, Some(Note::SourceLost | Note::SourceRefused));
             let time = if mute { (o.elapsed as f64 - solo).max(0.0) } else { o.waited as f64 };
             if filled || (mute && o.result == Ok) {
                 smooth(from.first_byte.get_or_insert(time), SMOOTHING, time);
@@ -648,7 +652,7 @@
                 let known = from.first_byte.get_or_insert(time);
                 smooth(known, LOST_WEIGHT, time.max(*known));
                 from.filled = now;
-            } else if source_failed && matches!(o.result, Error | Full | Miss) {
+            } else if by_source && matches!(o.result, Error | Full | Miss) {
                 smooth(&mut from.failing, FAILING_WEIGHT, 1.0);
                 (from.shut, from.shut_until) = (true, now + TRIAL_EVERY);
             }
@@ -666,22 +670,22 @@
         let mut expired = Vec::new();
         for (id, open) in self.open.iter().filter(|(_, open)| !open.finished && !open.streaming) {
             expired.extend((open.arrived + open.request.patience <= now).then_some(*id));
-            let allowed = patience + 2 * self.solo(&open.request) as Micros;
+            let ([_, _, usual, off], solo) =
+                (self.mean[usize::from(open.request.class.0)], self.solo(&open.request));
+            let allowed = (patience as f64 + 2.0 * solo).max(usual + DEVIATIONS * off) as Micros;
             for (i, a) in open.attempts.iter().enumerate().filter(|(_, a)| a.open) {
                 *asked.entry(a.source).or_default() += 1;
-                for server in [Some(a.server), Some(a.source).filter(|s| *s != a.server && !a.delegate)] {
-                    if let Some(server) = server.filter(|_| a.sent + allowed <= now) {
-                        overdue.entry(server).or_default().push((*id, i));
-                    }
+                let source = Some(a.source).filter(|s| *s != a.server && !a.delegate);
+                for server in source.into_iter().chain([a.server]).filter(|_| a.sent + allowed <= now) {
+                    overdue.entry(server).or_default().push((*id, i));
                 }
             }
         }
         let waiting = std::mem::take(&mut self.waiting).into_iter().filter(|id| self.open.contains_key(id));
-        let (waiting, late) = waiting.partition(|id| self.may_wait(now, &self.open[id]));
+        let (waiting, late): (_, Vec<_>) = waiting.partition(|id| self.may_wait(now, &self.open[id]));
         self.waiting = waiting;
-        for id in expired.into_iter().chain::<Vec<_>>(late) {
-            self.give_up(now, id, out);
-        }
+        expired.into_iter().for_each(|id| self.give_up(now, id, Why::Late, out));
+        late.into_iter().for_each(|id: RequestId| self.give_up(now, id, Why::Fetches, out));
         // A source is silent by what it was to fill at several caches; what waits there is no cache's fault.
         let (caches, sources): (Vec<_>, Vec<_>) = overdue.into_iter().partition(|(s, _)| self.is_cache(*s));
         for (server, mut waiting) in sources.into_iter().chain(caches) {
@@ -728,7 +732,6 @@
         }
     }
 
-    /// Whether one more fetch may go out.
     fn has_fetch(&self) -> bool {
         self.fetches < self.fetches_most as usize
     }
@@ -739,15 +742,12 @@
         now < open.arrived + wait.min(open.request.patience - 2 * TICK)
     }
 
-    /// Lateness of the middle cache of the own location.
     fn middle_late(&self) -> f64 {
         let mut late: Vec<f64> = self.caches.iter().map(|s| self.servers[s].late).collect();
         late.sort_by(f64::total_cmp);
         late.get(late.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
     }
 
-    // ---- Guards.
-
     /// Whether a cache may be sent a request: not shut (or due for a trial) and in its cold budget.
     fn usable(&self, now: Micros, server: ServerId, open: &Open) -> bool {
         let Some(to) = self.servers.get(&server) else { return false };
@@ -765,23 +765,31 @@
     /// Whether a request is predicted to be late at a cache for what is there already.
     fn crowded(&self, now: Micros, server: ServerId, open: &Open) -> bool {
         let Some(to) = self.servers.get(&server) else { return true };
-        let others = f64::from(self.sharers(to) - 1) * to.usual_now(now, self.crowd_memory());
-        let there = f64::from(to.out) + others;
-        there >= 1.0 && (there + 1.0) / self.capacity(now, to, self.middle_late()) > self.most_crowd(open)
+        let (there, told) = (self.there(now, to), self.settings.weighed || self.borne.is_some());
+        let crowd = (there + 1.0) / self.capacity(now, to, self.middle_late());
+        there >= 1.0 && told && crowd > self.most_crowd(open)
     }
 
-    /// Routers that may send to a server: those of its location, or all for what stands at a hub.
-    fn sharers(&self, server: &Server) -> u32 {
-        [self.settings.routers.max(1), self.own_routers()][usize::from(self.is_cache(server.member.server))]
+    /// Attempts at a server: the own ones, and those that the other routers are taken to have there.
+    fn there(&self, now: Micros, to: &Server) -> f64 {
+        f64::from(to.out)
+            + f64::from(self.sharers(self.is_cache(to.member.server)) - 1)
+                * to.usual_now(now, self.crowd_memory())
     }
 
-    /// Routers of the own location, this one included.
-    fn own_routers(&self) -> u32 {
-        self.settings.routers_by_zone[usize::from(self.settings.zone.0)].max(1)
+    /// What a server's link bears in full-pace answers when it is warm: told, or learned of the caches.
+    fn link(&self, server: &Server) -> f64 {
+        server.member.weight.max(0.01) * self.borne.filter(|_| !self.is_parent(server)).unwrap_or(1.0)
+    }
+
+    /// Routers that may send to a server: those of its location, or all for what stands at a hub.
+    fn sharers(&self, cache: bool) -> u32 {
+        let own = self.settings.routers_by_zone[usize::from(self.settings.zone.0)];
+        [self.settings.routers, own][usize::from(cache)].max(1)
     }
 
     fn crowd_memory(&self) -> Micros {
-        CROWD_MEMORY * Micros::from(self.own_routers() - 1)
+        CROWD_MEMORY * Micros::from(self.sharers(true) - 1)
     }
 
     /// The crowd at a server that a request is predicted to bear: its time grows with it, its target not.
@@ -796,7 +804,7 @@
     /// What a cache can be trusted with: its link, less what coldness and lateness beyond chance take of it.
     fn capacity(&self, now: Micros, server: &Server, middle: f64) -> f64 {
         let excess = Some(server.late - middle).filter(|excess| *excess > LATE_LEAST).unwrap_or(0.0);
-        server.member.weight.max(0.01) * self.warmth(now, server) * (-excess).exp()
+        self.link(server) * self.warmth(now, server) * (-excess).exp()
     }
 
     /// The part of its capacity that a server surely has by now.
@@ -819,8 +827,7 @@
         }
         let rules = &self.settings.rules;
         let multiple = if self.is_parent(server) { rules.parent_fall_multiple } else { rules.fall_multiple };
-        let span = rules.fall_span as f64 / SECOND as f64;
-        Some(COLD_MARGIN * multiple * warmth * server.member.weight * span)
+        Some(COLD_MARGIN * multiple * warmth * self.link(server) * rules.fall_span as f64 / SECOND as f64)
     }
 
     /// Whether this router's part of a cold server's budget is used up. Where the part is under one send, the
@@ -829,9 +836,10 @@
     fn cold_full(&self, now: Micros, server: ServerId, class: ClassId) -> bool {
         let Some(server) = self.servers.get(&server) else { return false };
         let Some(budget) = self.cold_budget(now, server) else { return false };
-        let work = self.mean[usize::from(class.0)].0 / SECOND as f64;
+        let work = self.mean[usize::from(class.0)][0] / SECOND as f64;
         let [processes, place] = self.shared;
-        let (sharers, number) = (self.sharers(server) * processes, self.settings.ordinal * processes + place);
+        let sharers = self.sharers(self.is_cache(server.member.server)) * processes;
+        let number = self.settings.ordinal * processes + place;
         let share = budget / f64::from(sharers);
         let span = self.settings.rules.fall_span.max(1);
         let age = now - server.member.up_since.unwrap_or(now);
@@ -877,8 +885,6 @@
             || (class.effect == Effect::Keyed && class.scope == DedupScope::All)
     }
 
-    // ---- The list, purges and upkeep.
-
     fn on_members(&mut self, now: Micros, kind: ListKind, entries: Vec<Member>, out: &mut Vec<Action>) {
         match kind {
             ListKind::Cached if self.settings.ask_discovery => out.push(Action::Watch(true)),
@@ -898,7 +904,8 @@
             server.member = member;
         }
         let listed = |fits: &dyn Fn(&Server) -> bool| -> Vec<ServerId> {
-            self.servers.values().filter(|s| ready(s) && fits(s)).map(|s| s.member.server).collect()
+            let ready = |s: &&Server| s.member.state == ServerState::Ready && fits(s);
+            self.servers.values().filter(ready).map(|s| s.member.server).collect()
         };
         let own = |s: &Server| self.is_cache(s.member.server) && s.member.zone == self.settings.zone;
         let origin = |s: &Server| s.member.kind == self.settings.origin_kind;
@@ -924,8 +931,7 @@
         counts.sort_unstable_by(|a, b| b.cmp(a));
         self.threshold = counts.get(counts.len() / POPULAR_PART).copied().unwrap_or(0).max(POPULAR_LEAST);
         self.directory.values_mut().for_each(|entry| entry.delegates.retain(|d| d.until > now));
-        let kept = 2 * self.settings.rules.purge_settles;
-        self.purged.retain(|_, at| *at + kept > now);
+        self.purged.retain(|_, at| *at + 2 * self.settings.rules.purge_settles > now);
         self.servers.retain(|_, s| s.member.state != ServerState::Gone || s.out > 0);
         let since = now - self.settings.rules.fall_span;
         self.servers.values_mut().for_each(|server| server.sends.retain(|(at, _)| *at > since));
@@ -950,12 +956,12 @@
         if request.size_kb > 0.0 && self.settings.pace_kb_per_s > 0.0 {
             return request.size_kb / self.settings.pace_kb_per_s * SECOND as f64;
         }
-        self.mean[usize::from(request.class.0)].0
+        self.mean[usize::from(request.class.0)][0]
     }
 
     /// Books a class's sending time: the plain mean of the first ones, which say more than a guess.
     fn sample(&mut self, class: ClassId, time: f64) {
-        let (mean, count) = &mut self.mean[usize::from(class.0)];
+        let [mean, count, ..] = &mut self.mean[usize::from(class.0)];
         *count += 1.0;
         *mean += (1.0 / *count).max(SMOOTHING) * (time - *mean);
     }
@@ -978,7 +984,6 @@
         (self.late, self.shut, self.shut_until) = (LATE_MOST, true, now + TRIAL_EVERY);
     }
 
-    /// Books a failure of its own.
     fn fail(&mut self, now: Micros) {
         smooth(&mut self.failing, FAILING_WEIGHT, 1.0);
         if self.failing > FAILING[0] {
@@ -997,13 +1002,10 @@
     }
 }
 
-/// A class's sending time before any sample, and how many there are.
-fn untried(class: &Class) -> (f64, f64) {
-    (class.target as f64 * if class.never_kept { OWN_TIME } else { 1.0 }, 0.0)
-}
-
-fn ready(server: &Server) -> bool {
-    server.member.state == ServerState::Ready
+/// A class's sending time before any sample.
+fn untried(class: &Class) -> [f64; 4] {
+    let mean = class.target as f64 * if class.never_kept { OWN_TIME } else { 1.0 };
+    [mean, 0.0, 0.0, 0.0]
 }
 
 /// A server's place in the rendezvous order of an object, the least first: by chance, by weight.
@@ -1016,10 +1018,3 @@
 fn smooth(mean: &mut f64, weight: f64, sample: f64) {
     *mean += weight * (sample - *mean);
 }
-
-/// Spreads a number over 64 bits (the finalizer of SplitMix64).
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/src/server/figures.rs
+++ b/src/server/figures.rs
@@ -60,6 +60,9 @@
             line(&format!("replies.{name}.error"), *error);
             line(&format!("replies.{name}.dispatches"), *dispatches);
         }
+        for (name, refused) in self.core.refused() {
+            line(&format!("refused.{name}"), refused);
+        }
         let (targets, disabled) = self.core.targets();
         line("dispatches", classes.values().map(|sums| sums[3]).sum());
         line("concurrent", self.waiting.len() as u64);
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -20,7 +20,7 @@
 use crate::front::admin;
 use crate::front::signed::{self, route::Place};
 use crate::front::thrift::{self, codec::Reply};
-use crate::interface::{ClassId, ListKind, Micros, ObjectId, Purge, ServerId, ServerState};
+use crate::interface::{ClassId, ListKind, Micros, ObjectId, Purge, ServerId, ServerState, Why};
 use crate::members::Members;
 use crate::net::fabric::Fabric;
 use crate::net::{Clock, ConnKey, Listener, Net, Ready, Reason, Role};
@@ -543,11 +543,11 @@
     fn on_happening(&mut self, happening: Happening) {
         match happening {
             Happening::Ended { job, ending } => {
-                let end = words::end(ending, &self.names.report);
+                let end = words::end(ending, &self.names);
                 self.core.ended(self.now, Key::from_number(job), end, &mut self.due);
             }
             Happening::Probed { host, ending, elapsed } => {
-                let end = words::end(ending, &self.names.report);
+                let end = words::end(ending, &self.names);
                 self.core.probed(self.now, ServerId(host), end.result, elapsed, end.load, &mut self.due);
             }
         }
@@ -660,7 +660,7 @@
         };
         let Some((class, patience)) = links.classes.get(route).copied() else { return };
         if full {
-            let refused = Final::Refused { pause: self.core.pause(class), late: false };
+            let refused = Final::Refused { pause: self.core.pause(class), late: false, why: Why::Full };
             self.core.count(class, &refused);
             return links.front.say(conn, number, words::answer(refused, &[], now));
         }
@@ -722,7 +722,7 @@
 
     /// A refusal with this pause (us), counted for its class.
     fn refusal(&mut self, class: Option<ClassId>, pause: Micros) -> Reply {
-        let refused = Final::Refused { pause, late: false };
+        let refused = Final::Refused { pause, late: false, why: Why::Full };
         class.into_iter().for_each(|class| self.core.count(class, &refused));
         words::reply(refused)
     }
--- a/src/server/words.rs
+++ b/src/server/words.rs
@@ -109,7 +109,7 @@
 }
 
 /// What an attempt's ending on the wire proves.
-pub fn end(ending: Ending, report: &[String]) -> End {
+pub fn end(ending: Ending, names: &Names) -> End {
     let answer = match ending {
         Ending::NotConnected => return End::bare(AttemptResult::ConnectFailed),
         Ending::Unsent => return End::bare(AttemptResult::Moot),
@@ -140,7 +140,11 @@
         })
     });
     let waited = answer.field("waited").and_then(|ms| ms.parse::<f64>().ok()).unwrap_or(0.0);
-    End { result, note, waited: (waited * 1000.0) as Micros, load: answer.load(report), copy: copy(answer) }
+    // A copy that is called current sends no bytes, and its time says nothing of the object's size.
+    let sending = answer.body.len() as f64 / names.flow_bytes_per_s.max(1.0) * 1_000_000.0;
+    let sending = if names.flow_bytes_per_s > 0.0 { sending as Micros } else { 0 };
+    let load = answer.load(&names.report);
+    End { result, note, waited: (waited * 1000.0) as Micros, sending, load, copy: copy(answer) }
 }
 
 fn copy(answer: Answer) -> Copy {
--- a/src/server/words/tests.rs
+++ b/src/server/words/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::core::Copy;
+use crate::interface::Why;
 
 fn names() -> Names {
     let classes = vec!["replay".into(), "piece".into()];
@@ -82,7 +83,7 @@
         (answer("whatever", false), Error),
     ] {
         let told = matches!(ending, Ending::Answer(_));
-        let end = end(ending, &[]);
+        let end = end(ending, &names());
         assert_eq!(end.result, result);
         assert_eq!((end.note, end.waited), if told { (Some(Note::SourceLost), 12_500) } else { (None, 0) });
     }
@@ -96,10 +97,10 @@
         (Final::Served(copy(false)), &["b"][..], 200, None),
         (Final::Served(copy(false)), &["b", "a"], 304, None),
         (Final::Served(copy(true)), &["a"], 304, None),
-        (Final::Refused { pause: 250_000, late: false }, &[], 503, Some(1)),
-        (Final::Refused { pause: 1_000_001, late: false }, &[], 503, Some(2)),
-        (Final::Refused { pause: 0, late: false }, &[], 503, None),
-        (Final::Refused { pause: 250_000, late: true }, &[], 504, None),
+        (Final::Refused { pause: 250_000, late: false, why: Why::Full }, &[], 503, Some(1)),
+        (Final::Refused { pause: 1_000_001, late: false, why: Why::Full }, &[], 503, Some(2)),
+        (Final::Refused { pause: 0, late: false, why: Why::Full }, &[], 503, None),
+        (Final::Refused { pause: 250_000, late: true, why: Why::Late }, &[], 504, None),
         (Final::Failed { late: true }, &[], 504, None),
         (Final::Failed { late: false }, &[], 502, None),
         (Final::Denied, &["a"], 403, None),
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -17,6 +17,7 @@
         hub_by_zone: vec![ZoneId(1), ZoneId(1), ZoneId(1)],
         link_kb_per_s: vec![0.0; 3],
         pace_kb_per_s: 1000.0,
+        weighed: true,
         classes: vec![Class {
             target: 600 * MS,
             stretch: 2.0,
@@ -125,6 +126,13 @@
         (request.id, self.event(Event::Request(request)))
     }
 
+    /// Asks for an object whose size (KB) is told, or not (0).
+    fn open(&mut self, object: u64, size_kb: f64) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let request = Request { size_kb, ..request(self.next, object) };
+        (request.id, self.event(Event::Request(request)))
+    }
+
     fn get(&mut self, object: u64) -> Get {
         let (_, actions) = self.ask(object);
         get_of(&actions).unwrap_or_else(|| panic!("no attempt in {actions:?}"))
@@ -139,6 +147,7 @@
             note,
             elapsed: 100 * MS,
             waited: 10 * MS,
+            sending: 0,
             finished: result == AttemptResult::Ok,
             load: vec![],
         }))
@@ -496,6 +505,7 @@
             note: Some(Note::Filled),
             elapsed: 110 * MS,
             waited,
+            sending: 0,
             finished: true,
             load: vec![],
         }));
@@ -847,6 +857,7 @@
                     note: Some(Note::FilledByOrigin),
                     elapsed: waited + 100 * MS,
                     waited,
+                    sending: 0,
                     finished: true,
                     load: vec![],
                 }));
@@ -879,6 +890,7 @@
             note: Some(Note::Filled),
             elapsed: 110 * MS,
             waited,
+            sending: 0,
             finished: true,
             load: vec![],
         }));
@@ -968,6 +980,7 @@
             note: Some(Note::FilledByOrigin),
             elapsed: 100 * MS,
             waited: 90 * MS,
+            sending: 0,
             finished: true,
             load: vec![],
         };
@@ -1214,3 +1227,127 @@
     let (alone, shared) = (sent(1), sent(2));
     assert!(shared > 0 && 2 * shared <= alone, "{alone} alone, {shared} shared");
 }
+
+/// Attempts at caches whose links bear so many full-pace answers each: they share a link that has more.
+struct Links {
+    bears: f64,
+    out: Vec<(Micros, Get)>,
+}
+
+impl Links {
+    /// Asks for `each` new objects in every 100 ms of `span`; how many were asked for and how many refused as a crowd.
+    fn play(&mut self, bench: &mut Bench, span: Micros, each: u64) -> (usize, usize) {
+        const SENDING: Micros = 400 * MS;
+        let (mut asked, mut refused, until) = (0, 0, bench.now + span);
+        while bench.now < until {
+            bench.now += 20 * MS;
+            bench.event(Event::Timer(0));
+            for _ in 0..if bench.now % (100 * MS) == 0 { each } else { 0 } {
+                let object = bench.next + 1000;
+                let (id, actions) = bench.open(object, 0.0);
+                asked += 1;
+                let crowd = |a: &Action| matches!(a, Action::Refuse { why: Why::Crowd, request, .. } if *request == id);
+                refused += usize::from(actions.iter().any(crowd));
+                self.out.extend(get_of(&actions).map(|get| (bench.now, get)));
+            }
+            let there = |server| self.out.iter().filter(|(_, get)| get.server == server).count() as f64;
+            let takes = |get: &Get| (SENDING as f64 * (there(get.server) / self.bears).max(1.0)) as Micros;
+            let over = |(sent, get): &(Micros, Get)| sent + takes(get) <= bench.now;
+            let (ended, out): (Vec<_>, Vec<_>) = self.out.iter().cloned().partition(over);
+            self.out = out;
+            for (sent, get) in ended {
+                bench.event(Event::Outcome(Outcome {
+                    request: get.request,
+                    attempt: 0,
+                    server: get.server,
+                    result: AttemptResult::Ok,
+                    note: Some(Note::Hit),
+                    elapsed: bench.now - sent,
+                    waited: 0,
+                    sending: SENDING,
+                    finished: true,
+                    load: vec![],
+                }));
+            }
+        }
+        (asked, refused)
+    }
+}
+
+/// red-sucursales, 2026-12-02: its weights are "silent", which means that all are 1; that was read as a link of one
+/// full-pace answer, and 34 to 43 % of the tries were refused as a crowd at idle caches.
+#[test]
+fn a_weight_that_tells_nothing_makes_no_crowd_and_what_links_bear_is_learned() {
+    let one = |member: Member| Member { weight: 1.0, ..member };
+    let fleet = || fleet().into_iter().map(one).collect::<Vec<_>>();
+    let played = |weighed, bears, each| {
+        let mut bench = Bench::new(Settings { weighed, ..settings() }, fleet());
+        let mut links = Links { bears, out: Vec::new() };
+        links.play(&mut bench, 5 * SECOND, 4);
+        links.play(&mut bench, 5 * SECOND, each)
+    };
+    let (asked, refused) = played(true, 8.0, 4);
+    assert!(4 * refused > asked, "a told link of one is a crowd: {refused} of {asked}");
+    let (asked, refused) = played(false, 8.0, 4);
+    assert!(20 * refused < asked, "{refused} of {asked} at three links of eight that carry sixteen");
+    let (asked, refused) = played(false, 3.0, 12);
+    assert!(
+        4 * refused > asked,
+        "links of three that are asked for five times as much: {refused} of {asked}"
+    );
+}
+
+/// What a fill waits for its source, and how slow it comes over the location's link, was booked as its cache's
+/// lateness: homes moved, which made more fills.
+#[test]
+fn a_fill_that_waits_for_its_source_moves_no_home() {
+    let mut bench = Bench::new(settings(), fleet());
+    let homes: Vec<ServerId> = (1..60).map(|object| bench.served(object).server).collect();
+    for object in 100..200 {
+        let get = bench.get(object);
+        bench.now += 20 * MS;
+        let slow = get.server.0 == 1;
+        bench.event(Event::Outcome(Outcome {
+            request: get.request,
+            attempt: 0,
+            server: get.server,
+            result: AttemptResult::Ok,
+            note: Some(Note::Filled),
+            elapsed: if slow { 2 * SECOND } else { 100 * MS },
+            waited: if slow { SECOND } else { 10 * MS },
+            sending: 90 * MS,
+            finished: true,
+            load: vec![],
+        }));
+    }
+    let again: Vec<ServerId> = (1..60).map(|object| bench.served(object).server).collect();
+    assert_eq!(homes, again);
+}
+
+/// Where all answers take long for a while (a shared link is full), two that are out as long as others were are no sign
+/// that their cache is silent: each such closing moved homes and made more fills (500 in a calm day of 25 s).
+#[test]
+fn what_takes_no_longer_than_others_did_is_not_silent() {
+    let mut bench = Bench::new(settings(), fleet());
+    let answer = |bench: &mut Bench, get: &Get, elapsed| {
+        let (request, server) = (get.request, get.server);
+        let (result, note, load) = (AttemptResult::Ok, Some(Note::Filled), vec![]);
+        let (waited, sending, finished) = (SECOND, 100 * MS, true);
+        let outcome =
+            Outcome { request, attempt: 0, server, result, note, elapsed, waited, sending, finished, load };
+        bench.event(Event::Outcome(outcome));
+    };
+    for object in 0..60 {
+        let get = bench.get(object);
+        answer(&mut bench, &get, 1500 * MS + (object % 5) as Micros * 100 * MS);
+    }
+    let silent = |actions: &[Action]| {
+        actions.iter().any(|a| matches!(a, Action::Log(line) if line.contains("silent")))
+    };
+    for object in 100..112 {
+        let (_, actions) = bench.open(object, 0.0);
+        assert!(get_of(&actions).is_some());
+    }
+    assert!(!silent(&bench.pass(1700 * MS)), "others took as long");
+    assert!(silent(&bench.pass(3 * SECOND)), "by then they are silent");
+}
