Limit fetches to what the origin bears for hundreds of proxies, and vary the simulator's site

Each refusal's cause, counted over the fleet: after the crowd fetches through the origin took 10 to 18 times their sending time, most ended at their deadline, and were asked for again. Two lines fed it: a fetch counted as slow by its first byte alone, and no proxy went below two fetches, which for a hundred is a crowd for good (FETCHES). A fetch that is late as a whole counts now, the limit falls from what was out (RFC 7661) and to one fetch of all proxies together, and a rare good one speaks for a second.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,14 +77,14 @@
 const LATE_STAY: f64 = 1.2;
 /// The first of an object's two parents is left for the second while its wait is this many times as long.
 const FAR_BETTER: f64 = 2.0;
-/// Own fetches that may be out: at first, at least, at most. More only wait for each other at the origin.
-const FETCHES: [f64; 3] = [32.0, 2.0, 256.0];
-/// A fetch is slow whose first byte takes this part of its class's target: it is likely late.
+/// Own fetches that may be out: at first, at most. More only wait for each other at the origin. At least, one
+/// of all routers may be out: a part of one is the part of requests that may fetch while none is out.
+const FETCHES: [f64; 2] = [32.0, 256.0];
+/// A fetch is slow whose first byte takes this part of its class's target, or that is late as a whole.
 const FETCH_SLOW: f64 = 0.8;
-/// How fast that number falls with slow or failed fetches, and rises with others up to the first or while it
-/// binds, in its logarithm a second; how long one speaks for at most, us: few count as much as many.
-const FETCH_STEP: [f64; 2] = [3.0, 1.0];
-const FETCH_SPEAKS: Micros = SECOND / 5;
+/// How fast that number changes with slow or failed fetches, and with others up to the first or while it
+/// binds, in its logarithm a second, and how long one speaks for at most, us: few count as much as many.
+const FETCH_STEP: [(f64, Micros); 2] = [(-3.0, SECOND / 5), (1.0, SECOND)];
 /// Part of its target that a request waits at most for others' fetches to end.
 const FETCH_WAIT: f64 = 0.5;
 /// Wait advised to a refused client, as a part of its class's target.
@@ -120,20 +120,15 @@
     server: ServerId,
     source: ServerId,
     sent: Micros,
-    /// Sent by the directory, with the home as its source.
-    delegate: bool,
+    delegate: bool, // sent by the directory, with the home as its source
     /// Asks only for what the cache or its source holds: fills are held back.
     held: bool,
-    /// For want of a fetch alone: after a miss its request waits for one.
-    waits: bool,
+    waits: bool, // for want of a fetch alone: after a miss its request waits for one
     open: bool,
     rescued: bool, // called off or doubled because it was overdue
-    /// The cache is to blame for how it ended, so it is asked again last.
-    blamed: bool,
-    /// It ended with an error of the cache's own, if it is not the request's.
-    erred: bool,
-    /// Its connection broke: that says little of the cache, and nothing of the source.
-    torn: bool,
+    blamed: bool,  // the cache is to blame for how it ended, so it is asked again last
+    erred: bool,   // it ended with an error of the cache's own, if it is not the request's
+    torn: bool,    // its connection broke: that says little of the cache, and nothing of the source
     /// The origin failed behind its source: what it holds is not asked for again by this request.
     behind: bool,
 }
@@ -262,7 +257,7 @@
             }
         }
         // Of those that wait the newest has the most time left.
-        while self.has_fetch() {
+        while self.waiting.last().is_some_and(|id| self.has_fetch(*id)) {
             let Some(id) = self.waiting.pop() else { break };
             self.place(now, id, out);
         }
@@ -322,7 +317,7 @@
         };
         let parent = source.is_some_and(|s| self.parents.contains(&s));
         let behind = open.attempts.iter().any(|a| a.behind);
-        let full = first && !never_kept && !self.has_fetch();
+        let full = first && !never_kept && !self.has_fetch(id);
         let only_held = parent && !never_kept && (behind || full);
         let counted = self.directory.get(&object).map_or(0, |entry| entry.count);
         let get = Get {
@@ -430,7 +425,7 @@
     /// The oldest copy that will do: fresh, or past it on a further attempt, and newer than any purge.
     fn max_age(&self, now: Micros, open: &Open) -> Micros {
         let class = self.class(&open.request);
-        let grace = if open.attempts.is_empty() && self.has_fetch() { 0 } else { class.grace };
+        let grace = if open.attempts.is_empty() && self.has_fetch(open.request.id) { 0 } else { class.grace };
         let fresh = if class.fresh > 0 { class.fresh + grace } else { 0 };
         let object = self.purged.get(&Purge::Object(open.request.object));
         let group = self.purged.get(&Purge::Group(open.request.group));
@@ -601,13 +596,16 @@
         if filling && !attempt.held {
             let lost = matches!(o.result, Full | Timeout) || (o.result == Cancelled && attempt.rescued);
             let far = o.note == Some(Note::FilledByOrigin);
-            let late = far && o.waited as f64 > FETCH_SLOW * self.class(request).target as f64;
+            let (target, stretch) = (self.class(request).target as f64, self.class(request).stretch);
+            let whole = told && o.elapsed as f64 > target + stretch * solo;
+            let late = far && (whole || o.waited as f64 > FETCH_SLOW * target);
             let slow = lost || late || (o.result == Error && (mute || !attempt.erred));
-            let most = FETCHES[0].max(self.fetches as f64 + 2.0);
-            if slow || (far && self.fetches_most < most) {
-                let spoken = (now - self.fetched_at).min(FETCH_SPEAKS) as f64 / SECOND as f64;
-                let step = (spoken * if slow { -FETCH_STEP[0] } else { FETCH_STEP[1] }).exp();
-                self.fetches_most = (self.fetches_most * step).clamp(FETCHES[1], FETCHES[2]);
+            // A limit that was not used says nothing: it falls from what was out (RFC 7661).
+            let used = self.fetches_most.min(if slow { self.fetches as f64 + 1.0 } else { f64::MAX });
+            if slow || (far && used < FETCHES[0].max(self.fetches as f64 + 2.0)) {
+                let (step, speaks) = FETCH_STEP[usize::from(!slow)];
+                let step = (step * (now - self.fetched_at).min(speaks) as f64 / SECOND as f64).exp();
+                self.fetches_most = (used * step).clamp(1.0 / f64::from(self.sharers(false)), FETCHES[1]);
             }
             self.fetched_at = now;
         }
@@ -732,8 +730,9 @@
         }
     }
 
-    fn has_fetch(&self) -> bool {
-        self.fetches < self.fetches_most as usize
+    fn has_fetch(&self, id: RequestId) -> bool {
+        let part = mix(id.0 + 1) as f64 / u64::MAX as f64;
+        self.fetches as f64 + part < self.fetches_most
     }
 
     /// Whether a request may wait for a fetch: until well before its time, which a tick may miss by a little.
--- /dev/null
+++ b/src/sim/customers.rs
@@ -0,0 +1,93 @@
+//! Customers: what differs between the sites that the program is run for, drawn by seed. One in two plays is the usual
+//! site; the others tell less or allow less, as a site's settings may (PROTOCOL, WIRE: `weights`, `limits`, `domain`).
+
+use crate::spread::mix;
+use serde_json::{json, Value};
+
+/// What a site's settings tell and allow, where it is not the usual.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Customer {
+    /// The list's weights say nothing: all are 1, whatever the links are.
+    pub silent_weights: bool,
+    /// Refused clients get no advice.
+    pub no_pause: bool,
+    /// A request has one attempt out at a time.
+    pub one_at_a_time: bool,
+    /// Attempts cannot be called off.
+    pub no_cancel: bool,
+    /// Answers tell nothing of how they came about.
+    pub no_notes: bool,
+    /// Requests do not go straight to a parent or the origin.
+    pub no_direct: bool,
+    /// A request has two attempts at most.
+    pub few_attempts: bool,
+}
+
+impl Customer {
+    /// A site by seed: even ones are the usual site.
+    pub fn draw(seed: u64) -> Self {
+        let bits = if seed % 2 == 0 { 0 } else { mix(seed ^ 0x00c0_5703) };
+        let bit = |n: u32| bits >> n & 1 == 1;
+        Customer {
+            silent_weights: bit(0),
+            no_pause: bit(1),
+            one_at_a_time: bit(2),
+            no_cancel: bit(3),
+            no_notes: bit(4) && bit(5),
+            no_direct: bit(6),
+            few_attempts: bit(7) && bit(8),
+        }
+    }
+
+    /// Words it in the settings and in the hosts of the first list.
+    pub fn word(self, settings: &mut Value, hosts: &mut Value) {
+        let mut set = |on: bool, path: [&str; 2], value: Value| {
+            if on {
+                settings[path[0]][path[1]] = value;
+            }
+        };
+        set(self.no_pause, ["limits", "retry_after"], json!(false));
+        set(self.one_at_a_time, ["limits", "parallel_tries"], json!(false));
+        set(self.no_cancel, ["limits", "cancel"], json!(false));
+        set(self.few_attempts, ["limits", "max_attempts"], json!(2));
+        set(self.no_notes, ["domain", "tells"], json!("silent"));
+        set(self.no_direct, ["domain", "straight"], json!(false));
+        if self.silent_weights {
+            settings["weights"] = json!("silent");
+            hosts.as_array_mut().into_iter().flatten().for_each(|host| host["share"] = json!(1.0));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn half_of_the_plays_are_the_usual_site_and_every_difference_is_drawn() {
+        let usual = Customer::draw(0);
+        assert!((0..100).step_by(2).all(|seed| Customer::draw(seed) == usual));
+        let all: Vec<Customer> = (1..200).step_by(2).map(Customer::draw).collect();
+        let seen = |of: fn(&Customer) -> bool| all.iter().filter(|c| of(c)).count();
+        let counts = [
+            seen(|c| c.silent_weights),
+            seen(|c| c.no_pause),
+            seen(|c| c.one_at_a_time),
+            seen(|c| c.no_cancel),
+            seen(|c| c.no_notes),
+            seen(|c| c.no_direct),
+            seen(|c| c.few_attempts),
+        ];
+        assert!(counts.iter().all(|n| (10..90).contains(n)), "{counts:?}");
+    }
+
+    #[test]
+    fn silent_weights_hide_the_links() {
+        let (mut settings, mut hosts) = (json!({}), json!([{"share": 4.0}, {"share": 7.5}]));
+        Customer { silent_weights: true, ..Customer::draw(0) }.word(&mut settings, &mut hosts);
+        assert_eq!(
+            (settings["weights"].as_str(), hosts),
+            (Some("silent"), json!([{"share": 1.0}, {"share": 1.0}]))
+        );
+    }
+}
--- a/src/sim/hosts.rs
+++ b/src/sim/hosts.rs
@@ -97,6 +97,8 @@
 /// A host.
 #[derive(Debug)]
 pub struct Host {
+    /// What its link bears, in full-pace answers, whatever the list tells.
+    pub link: f64,
     /// Its name in the list.
     pub name: String,
     /// What it is.
@@ -127,6 +129,7 @@
     /// A warm host.
     pub fn new(name: &str, tier: Tier, entry: serde_json::Value) -> Self {
         Host {
+            link: entry["share"].as_f64().unwrap_or(1.0),
             name: name.to_owned(),
             tier,
             entry,
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -1,9 +1,10 @@
 //! A deterministic simulator: the edge proxy's own network code on a virtual clock, against scripted faults drawn from
 //! a seed, with every rule checked as things happen. See docs/simulator.md.
 //!
-//! [`faults`] draws what goes wrong, [`world`] plays a run, [`hosts`] is the other end of the line protocol, [`rules`]
+//! [`customers`] draws the site, [`faults`] what goes wrong, [`world`] plays a run, [`hosts`] is the other end of the line protocol, [`rules`]
 //! says what must hold, [`runner`] plays many seeds and shrinks what fails.
 
+pub mod customers;
 pub mod faults;
 pub mod hosts;
 pub mod rules;
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -1,6 +1,7 @@
 //! One simulated run: edge proxies (the program's own server, unchanged) on a virtual clock, and around them clients,
 //! hosts and the control feed, with a script of faults. Everything that is left to chance is drawn from the seed.
 
+use super::customers::Customer;
 use super::faults::{Fault, Plan, What};
 use super::hosts::{answer, lines, Fetch, Fleet, Host, Line, Tier};
 use super::rules::{Breach, Rules, WAY};
@@ -177,8 +178,12 @@
         // A second `result` is a second effect.
         let effect = if sabotage == Some(Sabotage::ResultTwice) { "pure" } else { "side_effect" };
         base["settings"]["grades"][3]["effect"] = effect.into();
-        let first = base["known"]["events"][0].clone();
-        let entries = first["members"]["hosts"].as_array().cloned().unwrap_or_default();
+        let mut first = base["known"]["events"][0].clone();
+        let hosts = &mut first["members"]["hosts"];
+        let link = |entry: &Value| entry["share"].as_f64().unwrap_or(1.0);
+        let links: Vec<f64> = hosts.as_array().into_iter().flatten().map(link).collect();
+        Customer::draw(seed).word(&mut base["settings"], hosts);
+        let entries = hosts.as_array().cloned().unwrap_or_default();
         let fabric = Fabric::new(START, seed ^ 0x5eed, DELAYS);
         let mut world = World {
             plan,
@@ -212,7 +217,7 @@
             world.fabric.set_reach(address(n as u16), Reach::Up);
             world.numbers.insert(address(n as u16), n);
             let name = entry["host"].as_str().unwrap_or_default().to_owned();
-            world.fleet.hosts.push(Host::new(&name, tier, entry));
+            world.fleet.hosts.push(Host { link: links[n], ..Host::new(&name, tier, entry) });
         }
         world.fabric.set_reach(address(FEED), Reach::Up);
         world.feed.events.push(first);
@@ -510,8 +515,10 @@
                     self.answers[1] += 1;
                     let pause = got.fields.iter().find(|(name, _)| name == "pause");
                     let pause = pause.and_then(|(_, ms)| ms.parse::<i64>().ok()).unwrap_or(0);
-                    if pause <= 0 {
-                        self.rules.broken(self.now, "no-pause", format!("{} is refused without", call.trace));
+                    let advised = self.base["settings"]["limits"]["retry_after"] == json!(true);
+                    if (pause > 0) != advised {
+                        let text = format!("{} is refused with {pause}, advised: {advised}", call.trace);
+                        self.rules.broken(self.now, "no-pause", text);
                     }
                 }
                 Answered::Failed => self.answers[2] += 1,
@@ -601,8 +608,7 @@
         let span = (figure("overload_for") * 1000.0) as i64;
         host.sends.retain(|at| *at > now - span);
         host.sends.push(now);
-        let weight = host.entry["share"].as_f64().unwrap_or(1.0);
-        let most = figure("fall_multiple") * warmth * weight * span as f64 / 1e6;
+        let most = figure("fall_multiple") * warmth * host.link * span as f64 / 1e6;
         let work = host.sends.len() as f64 * 0.02;
         if work > most {
             let text = format!("{} is sent {work:.2} s of work in {span} us, of {most:.2}", host.name);
