Let fetch limits rise where notes tell less, and hold for sites whose misses go to the origin

Found by made-up customers (tests/fleet.rs, next commit): where notes are "hit" or "silent" no fetch ever counted as one from the origin, so that the limit only fell (71 % refused at idle links, 2626 of them 'fetches'); where no parent stands between, the limit did not bind at all.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -188,8 +188,7 @@
     mean: Vec<[f64; 4]>,
     /// Full-pace answers that the caches' links were seen to bear for each weight, where no weight tells it.
     borne: Option<f64>,
-    /// When what was purged last.
-    purged: BTreeMap<Purge, Micros>,
+    purged: BTreeMap<Purge, Micros>, // when what was purged last
     retries: f64,
     /// Own fetches out, how many may be, when that changed, and the requests that wait for one to end.
     fetches: usize,
@@ -315,10 +314,10 @@
             _ if self.is_cache(server) => self.source(now, open),
             _ => None,
         };
-        let parent = source.is_some_and(|s| self.parents.contains(&s));
         let behind = open.attempts.iter().any(|a| a.behind);
         let full = first && !never_kept && !self.has_fetch(id);
-        let only_held = parent && !never_kept && (behind || full);
+        let only_held = source.is_some() && helper.is_none() && !never_kept && (behind || full);
+        let source = source.filter(|s| !only_held || self.parents.contains(s)); // the origin holds all
         let counted = self.directory.get(&object).map_or(0, |entry| entry.count);
         let get = Get {
             request: id,
@@ -328,7 +327,7 @@
             rank: if never_kept { 0 } else { KEEP_SEEN.min(counted.min(2) as u8) },
             max_age: self.max_age(now, open),
             join: self.settings.joins && !open.attempts.iter().any(|a| a.server == server && a.rescued),
-            only_held,
+            only_held: only_held && source.is_some(),
             no_parent_copy: false,
             renew: self.class(request).fresh > 0,
         };
@@ -595,7 +594,9 @@
         let filling = !attempt.delegate && attempt.source != attempt.server;
         if filling && !attempt.held {
             let lost = matches!(o.result, Full | Timeout) || (o.result == Cancelled && attempt.rescued);
-            let far = o.note == Some(Note::FilledByOrigin);
+            // Where notes say less, any fill may be one from the origin.
+            let kind = [Some(Note::FilledByOrigin), Some(Note::Filled), None][self.settings.notes as usize];
+            let far = o.note == kind && (kind.is_some() || o.result == Ok);
             let (target, stretch) = (self.class(request).target as f64, self.class(request).stretch);
             let whole = told && o.elapsed as f64 > target + stretch * solo;
             let late = far && (whole || o.waited as f64 > FETCH_SLOW * target);
