--- a/src/sim/customers.rs
+++ b/src/sim/customers.rs
@@ -26,7 +26,7 @@
 impl Customer {
     /// A site by seed: even ones are the usual site.
     pub fn draw(seed: u64) -> Self {
-        let bits = if seed % 2 == 0 { 0 } else { mix(seed ^ 0x00c0_5703) };
+        let bits = if seed.is_multiple_of(2) { 0 } else { mix(seed ^ 0x00c0_5703) };
         let bit = |n: u32| bits >> n & 1 == 1;
         Customer {
             silent_weights: bit(0),
