Keep a replicated log among the edge proxies of a federation, off the data path

What processes share has to survive the loss of any of them and must never stand in the way of serving.

Why these crates: raft does no I/O and takes ticks, so that the simulator plays the same code; redb's transactions are fsynced and whole; postcard has no nesting that a peer could grow (protobuf 2 parses nothing of a peer's); tempfile for the store's tests.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -158,6 +158,8 @@
     pub admin: Option<SocketAddr>,
     /// PROXY_ADMISSION: the operator's admission file, in HCL; every connection is taken without it.
     pub admission: Option<PathBuf>,
+    /// PROXY_FEDERATION: the operator's file of the federation, in HCL; off without it.
+    pub federation: Option<PathBuf>,
 }
 
 impl Files {
--- /dev/null
+++ b/src/federation/log.rs
@@ -0,0 +1,174 @@
+//! The log as the consensus library reads it: a copy in memory of what the store holds.
+
+use super::records::{EntryRecord, Hard, SnapshotRecord};
+use raft::eraftpb::{Entry, Snapshot};
+use raft::{GetEntriesContext, RaftState, Result, Storage, StorageError};
+use std::cell::Cell;
+
+/// What is to be kept durably, in one step: all of it or nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Save {
+    /// Term, vote and commit.
+    pub hard: Option<Hard>,
+    /// A snapshot; entries up to its place go, and where it `replaces` the log all others, too.
+    pub snapshot: Option<SnapshotRecord>,
+    /// The snapshot came from the leader, and what the log held is void.
+    pub replaces: bool,
+    /// Entries; those that stand from the first one's place on go.
+    pub entries: Vec<EntryRecord>,
+}
+
+impl Save {
+    /// Whether there is nothing to keep.
+    pub fn is_empty(&self) -> bool {
+        self.hard.is_none() && self.snapshot.is_none() && self.entries.is_empty()
+    }
+}
+
+/// All that a member has kept.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Saved {
+    /// Term, vote and commit.
+    pub hard: Hard,
+    /// The newest snapshot; index 0 for a member that has heard nothing yet.
+    pub snapshot: SnapshotRecord,
+    /// The entries after it, without a gap.
+    pub entries: Vec<EntryRecord>,
+}
+
+impl Saved {
+    /// Takes a step in, as the store does.
+    pub fn apply(&mut self, save: &Save) {
+        if let Some(hard) = save.hard {
+            self.hard = hard;
+        }
+        if let Some(snapshot) = &save.snapshot {
+            let index = snapshot.index;
+            self.entries.retain(|entry| !save.replaces && entry.index > index);
+            self.snapshot = snapshot.clone();
+            self.hard.commit = self.hard.commit.max(index);
+        }
+        if let Some(first) = save.entries.first() {
+            self.entries.retain(|entry| entry.index < first.index);
+            self.entries.extend(save.entries.iter().cloned());
+        }
+    }
+
+    /// Whether it is what a member can have kept.
+    ///
+    /// # Errors
+    ///
+    /// What is missing or out of place.
+    pub fn check(&self) -> std::result::Result<(), String> {
+        for (entry, index) in self.entries.iter().zip(self.snapshot.index + 1..) {
+            if entry.index != index {
+                return Err(format!("entry {} stands where {index} belongs", entry.index));
+            }
+        }
+        let last = self.snapshot.index + self.entries.len() as u64;
+        if self.hard.commit < self.snapshot.index || self.hard.commit > last {
+            return Err(format!("committed up to {}, the log ends at {last}", self.hard.commit));
+        }
+        let term = self.entries.last().map_or(self.snapshot.term, |entry| entry.term);
+        if self.hard.term < term {
+            return Err(format!("term {} is before the log's {term}", self.hard.term));
+        }
+        Ok(())
+    }
+}
+
+/// The copy.
+#[derive(Debug, Default)]
+pub struct Log {
+    saved: Saved,
+    /// A member needs a newer snapshot than there is.
+    asked: Cell<bool>,
+}
+
+impl Log {
+    /// The copy of what was kept.
+    pub fn new(saved: Saved) -> Self {
+        Log { saved, asked: Cell::new(false) }
+    }
+
+    /// Takes in what was kept now.
+    pub fn apply(&mut self, save: &Save) {
+        self.saved.apply(save);
+    }
+
+    /// The log is committed up to here.
+    pub fn commit(&mut self, index: u64) {
+        self.saved.hard.commit = index;
+    }
+
+    /// The newest snapshot.
+    pub fn base(&self) -> &SnapshotRecord {
+        &self.saved.snapshot
+    }
+
+    /// Whether a member needs a newer snapshot than there is; asked once.
+    pub fn wants_snapshot(&self) -> bool {
+        self.asked.take()
+    }
+
+    fn last(&self) -> u64 {
+        self.saved.snapshot.index + self.saved.entries.len() as u64
+    }
+}
+
+impl Storage for Log {
+    fn initial_state(&self) -> Result<RaftState> {
+        let SnapshotRecord { voters, learners, .. } = &self.saved.snapshot;
+        let conf_state = (voters.clone(), learners.clone()).into();
+        Ok(RaftState { hard_state: self.saved.hard.into(), conf_state })
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        _context: GetEntriesContext,
+    ) -> Result<Vec<Entry>> {
+        let first = self.saved.snapshot.index + 1;
+        if low < first {
+            return Err(StorageError::Compacted.into());
+        }
+        let range = (low - first) as usize..(high - first) as usize;
+        let found = self.saved.entries.get(range).ok_or(StorageError::Unavailable)?;
+        let mut entries: Vec<Entry> = found.iter().map(Entry::from).collect();
+        raft::util::limit_size(&mut entries, max_size.into());
+        Ok(entries)
+    }
+
+    fn term(&self, index: u64) -> Result<u64> {
+        let base = &self.saved.snapshot;
+        match index.checked_sub(base.index) {
+            None => Err(StorageError::Compacted.into()),
+            Some(0) => Ok(base.term),
+            Some(n) => {
+                let entry = self.saved.entries.get(n as usize - 1).ok_or(StorageError::Unavailable)?;
+                Ok(entry.term)
+            }
+        }
+    }
+
+    fn first_index(&self) -> Result<u64> {
+        Ok(self.saved.snapshot.index + 1)
+    }
+
+    fn last_index(&self) -> Result<u64> {
+        Ok(self.last())
+    }
+
+    fn snapshot(&self, request_index: u64, to: u64) -> Result<Snapshot> {
+        let base = &self.saved.snapshot;
+        // A member ignores the snapshot of a state to which it does not belong yet.
+        let knows = base.voters.contains(&to) || base.learners.contains(&to);
+        if base.index < request_index || !knows {
+            self.asked.set(true);
+            return Err(StorageError::SnapshotTemporarilyUnavailable.into());
+        }
+        Ok(base.into())
+    }
+}
--- /dev/null
+++ b/src/federation/mod.rs
@@ -0,0 +1,28 @@
+//! What the edge proxies of a federation agree on: a log that a majority of voters keeps (Raft, Ongaro and Ousterhout 2014),
+//! and the state that all of them make of it. It runs on a thread of its own; the data path never waits for it.
+//!
+//! Decisions do no I/O and take ticks and messages as they come: [`node`] is one member (the consensus itself is the `raft`
+//! crate's), [`state`] what the log's commands make, [`membership`] which change comes next, [`backoff`] when to dial again.
+//! [`store`] keeps what must survive, [`wire`] and [`hello`] are the bytes between members, [`runtime`] ties them to
+//! sockets. Design and operators' page: docs/federation.md.
+
+pub mod backoff;
+pub mod hello;
+pub mod log;
+pub mod membership;
+pub mod node;
+pub mod records;
+pub mod runtime;
+pub mod settings;
+pub mod state;
+pub mod store;
+pub mod view;
+pub mod wire;
+
+mod links;
+
+#[cfg(test)]
+mod tests;
+
+/// A member's number, from 1; never used again for another member.
+pub type MemberId = u64;
--- /dev/null
+++ b/src/federation/records.rs
@@ -0,0 +1,255 @@
+//! What is sent to other members and kept on disk, as plain records for serde: the `raft` crate's own messages are protobuf
+//! 2, which is never let near a peer's bytes (unbounded recursion, RUSTSEC-2024-0437).
+
+use super::MemberId;
+use raft::eraftpb;
+use serde::{Deserialize, Serialize};
+
+/// What a member must not forget before it answers (Raft, figure 2), and how far it knows the log to be committed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hard {
+    /// The newest term that it has seen.
+    pub term: u64,
+    /// Whom it voted for in that term; 0: nobody.
+    pub vote: MemberId,
+    /// The log is committed up to here.
+    pub commit: u64,
+}
+
+/// What an entry is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// A command, or nothing (a new leader's first entry).
+    Normal,
+    /// A change of the members; [`EntryRecord::context`] says which, the bytes in `data` are the library's and not read here.
+    Change,
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRecord {
+    /// What it is.
+    pub kind: Kind,
+    /// The term in which it was proposed.
+    pub term: u64,
+    /// Its place, from 1.
+    pub index: u64,
+    /// The command.
+    pub data: Vec<u8>,
+    /// The change.
+    pub context: Vec<u8>,
+}
+
+/// The state at a place of the log, in place of all entries up to there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotRecord {
+    /// The place; 0: there is none.
+    pub index: u64,
+    /// That entry's term.
+    pub term: u64,
+    /// Who votes there.
+    pub voters: Vec<MemberId>,
+    /// Who listens only.
+    pub learners: Vec<MemberId>,
+    /// The state, encoded.
+    pub data: Vec<u8>,
+}
+
+/// Declares the kinds of message that members send each other; no other kind of the library's is taken from a peer.
+macro_rules! messages {
+    ($($name:ident = $theirs:ident),*) => {
+        /// What a message is.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+        #[allow(missing_docs)]
+        pub enum MessageKind { $($name),* }
+
+        impl MessageKind {
+            fn theirs(self) -> eraftpb::MessageType {
+                match self { $(MessageKind::$name => eraftpb::MessageType::$theirs),* }
+            }
+
+            fn of(theirs: eraftpb::MessageType) -> Option<Self> {
+                match theirs { $(eraftpb::MessageType::$theirs => Some(MessageKind::$name),)* _ => None }
+            }
+        }
+    };
+}
+messages!(
+    Append = MsgAppend,
+    AppendAnswer = MsgAppendResponse,
+    Vote = MsgRequestVote,
+    VoteAnswer = MsgRequestVoteResponse,
+    PreVote = MsgRequestPreVote,
+    PreVoteAnswer = MsgRequestPreVoteResponse,
+    Snapshot = MsgSnapshot,
+    Heartbeat = MsgHeartbeat,
+    HeartbeatAnswer = MsgHeartbeatResponse,
+    TimeoutNow = MsgTimeoutNow
+);
+
+/// A message between members; the fields are the library's.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct MessageRecord {
+    pub kind: MessageKind,
+    pub to: MemberId,
+    pub from: MemberId,
+    pub term: u64,
+    pub log_term: u64,
+    pub index: u64,
+    pub entries: Vec<EntryRecord>,
+    pub commit: u64,
+    pub commit_term: u64,
+    pub snapshot: Option<SnapshotRecord>,
+    pub request_snapshot: u64,
+    pub reject: bool,
+    pub reject_hint: u64,
+    pub context: Vec<u8>,
+    pub priority: i64,
+}
+
+impl From<&eraftpb::HardState> for Hard {
+    fn from(hard: &eraftpb::HardState) -> Self {
+        Hard { term: hard.term, vote: hard.vote, commit: hard.commit }
+    }
+}
+
+impl From<Hard> for eraftpb::HardState {
+    fn from(hard: Hard) -> Self {
+        let Hard { term, vote, commit } = hard;
+        eraftpb::HardState { term, vote, commit, ..Default::default() }
+    }
+}
+
+impl From<&eraftpb::Entry> for EntryRecord {
+    fn from(entry: &eraftpb::Entry) -> Self {
+        let change = entry.get_entry_type() != eraftpb::EntryType::EntryNormal;
+        EntryRecord {
+            kind: if change { Kind::Change } else { Kind::Normal },
+            term: entry.term,
+            index: entry.index,
+            data: entry.data.to_vec(),
+            context: entry.context.to_vec(),
+        }
+    }
+}
+
+impl From<&EntryRecord> for eraftpb::Entry {
+    fn from(entry: &EntryRecord) -> Self {
+        let mut made = eraftpb::Entry {
+            term: entry.term,
+            index: entry.index,
+            data: entry.data.clone().into(),
+            context: entry.context.clone().into(),
+            ..Default::default()
+        };
+        if entry.kind == Kind::Change {
+            made.set_entry_type(eraftpb::EntryType::EntryConfChange);
+        }
+        made
+    }
+}
+
+impl From<&eraftpb::Snapshot> for SnapshotRecord {
+    fn from(snapshot: &eraftpb::Snapshot) -> Self {
+        let meta = snapshot.get_metadata();
+        SnapshotRecord {
+            index: meta.index,
+            term: meta.term,
+            voters: meta.get_conf_state().voters.clone(),
+            learners: meta.get_conf_state().learners.clone(),
+            data: snapshot.data.to_vec(),
+        }
+    }
+}
+
+impl From<&SnapshotRecord> for eraftpb::Snapshot {
+    fn from(record: &SnapshotRecord) -> Self {
+        let mut snapshot = eraftpb::Snapshot { data: record.data.clone().into(), ..Default::default() };
+        let meta = snapshot.mut_metadata();
+        (meta.index, meta.term) = (record.index, record.term);
+        *meta.mut_conf_state() = (record.voters.clone(), record.learners.clone()).into();
+        snapshot
+    }
+}
+
+impl MessageRecord {
+    /// The record of a message that goes to a peer; `None` for kinds that never leave a member.
+    pub fn of(message: &eraftpb::Message) -> Option<Self> {
+        let snapshot = message.get_snapshot();
+        Some(MessageRecord {
+            kind: MessageKind::of(message.get_msg_type())?,
+            to: message.to,
+            from: message.from,
+            term: message.term,
+            log_term: message.log_term,
+            index: message.index,
+            entries: message.entries.iter().map(EntryRecord::from).collect(),
+            commit: message.commit,
+            commit_term: message.commit_term,
+            snapshot: (!snapshot.is_empty()).then(|| snapshot.into()),
+            request_snapshot: message.request_snapshot,
+            reject: message.reject,
+            reject_hint: message.reject_hint,
+            context: message.context.to_vec(),
+            priority: message.priority,
+        })
+    }
+
+    /// Whether it can be one of a member's that keeps to the protocol: the library takes some of this for granted.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let snapshot = self.snapshot.as_ref();
+        if self.term == 0 {
+            return Err("no term");
+        }
+        if !self.entries.is_empty() && self.kind != MessageKind::Append {
+            return Err("entries where none belong");
+        }
+        let first = self.index.checked_add(1).ok_or("an index out of range")?;
+        let mut term = self.log_term;
+        for (entry, index) in self.entries.iter().zip(first..) {
+            if entry.index != index || entry.term < term || entry.term > self.term {
+                return Err("entries out of their order");
+            }
+            term = entry.term;
+        }
+        if self.kind == MessageKind::Snapshot
+            && snapshot.is_none_or(|s| s.voters.is_empty() || s.term > self.term)
+        {
+            return Err("a snapshot without a place or voters");
+        }
+        if snapshot.is_some() && self.kind != MessageKind::Snapshot {
+            return Err("a snapshot where none belongs");
+        }
+        Ok(())
+    }
+
+    /// The library's message.
+    pub fn message(&self) -> eraftpb::Message {
+        let mut message = eraftpb::Message {
+            to: self.to,
+            from: self.from,
+            term: self.term,
+            log_term: self.log_term,
+            index: self.index,
+            commit: self.commit,
+            commit_term: self.commit_term,
+            request_snapshot: self.request_snapshot,
+            reject: self.reject,
+            reject_hint: self.reject_hint,
+            context: self.context.clone().into(),
+            priority: self.priority,
+            ..Default::default()
+        };
+        message.set_msg_type(self.kind.theirs());
+        message.set_entries(self.entries.iter().map(eraftpb::Entry::from).collect::<Vec<_>>().into());
+        if let Some(snapshot) = &self.snapshot {
+            message.set_snapshot(snapshot.into());
+        }
+        message
+    }
+}
--- /dev/null
+++ b/src/federation/state.rs
@@ -0,0 +1,132 @@
+//! The state that all members make of the log: who belongs to the federation, and as what. Equal logs make equal states.
+
+use super::MemberId;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A member as all agree on it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its site.
+    pub site: String,
+    /// Whether it votes; the others hear what is committed.
+    pub voter: bool,
+    /// The number of the store that it came with first; another store under the same id has forgotten its votes, and is refused.
+    pub incarnation: Option<u64>,
+}
+
+/// A change of the members: one at a time, through the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// A new member, which listens at first.
+    Add {
+        /// Who.
+        id: MemberId,
+        /// Its site.
+        site: String,
+    },
+    /// A learner that has caught up votes from now on.
+    Promote(MemberId),
+    /// A voter only listens from now on.
+    Demote(MemberId),
+    /// A member belongs to the federation no more.
+    Remove(MemberId),
+}
+
+/// A command of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// A member has come with this store; the first one counts.
+    Enrol {
+        /// Who.
+        id: MemberId,
+        /// Its store's number.
+        incarnation: u64,
+    },
+    /// The members are as the file of this revision says.
+    Settled {
+        /// The file's revision.
+        revision: u64,
+    },
+}
+
+/// The state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// Names the federation: a digest of its name and founders. 0: nothing was heard yet.
+    pub identity: u64,
+    /// The newest file whose members hold.
+    pub revision: u64,
+    /// The members.
+    pub members: BTreeMap<MemberId, Member>,
+}
+
+impl State {
+    /// What all founders begin with.
+    pub fn founded(
+        identity: u64,
+        revision: u64,
+        founders: impl Iterator<Item = (MemberId, String, bool)>,
+    ) -> Self {
+        let member = |(id, site, voter)| (id, Member { site, voter, incarnation: None });
+        State { identity, revision, members: founders.map(member).collect() }
+    }
+
+    /// Takes a command in. What means nothing (any more) changes nothing: all members must agree on that, too.
+    pub fn apply(&mut self, command: &Command) {
+        match command {
+            Command::Enrol { id, incarnation } => {
+                if let Some(member) = self.members.get_mut(id) {
+                    member.incarnation.get_or_insert(*incarnation);
+                }
+            }
+            Command::Settled { revision } => self.revision = self.revision.max(*revision),
+        }
+    }
+
+    /// Whether a change can be taken in: it must change something, and leave a voter.
+    pub fn allows(&self, change: &Change) -> bool {
+        let voters = self.members.values().filter(|member| member.voter).count();
+        let votes = |id: &MemberId| self.members.get(id).map(|member| member.voter);
+        match change {
+            Change::Add { id, .. } => *id > 0 && !self.members.contains_key(id),
+            Change::Promote(id) => votes(id) == Some(false),
+            Change::Demote(id) => votes(id) == Some(true) && voters > 1,
+            Change::Remove(id) => votes(id).is_some_and(|voter| !voter || voters > 1),
+        }
+    }
+
+    /// Takes in a change that [`State::allows`].
+    pub fn change(&mut self, change: &Change) {
+        match change {
+            Change::Add { id, site } => {
+                let member = Member { site: site.clone(), voter: false, incarnation: None };
+                self.members.insert(*id, member);
+            }
+            Change::Promote(id) | Change::Demote(id) => {
+                if let Some(member) = self.members.get_mut(id) {
+                    member.voter = matches!(change, Change::Promote(_));
+                }
+            }
+            Change::Remove(id) => drop(self.members.remove(id)),
+        }
+    }
+
+    /// Whether a store may speak for a member: it is one, and no other store did so before. A member that was away may
+    /// not have heard yet who belongs to it: whom a newer file than the state's `listed` is let in, or the two would
+    /// never talk. One that has heard nothing lets in whoever holds the key: its file may have dropped already who leads.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub fn admits(&self, id: MemberId, incarnation: u64, listed: bool) -> Result<(), &'static str> {
+        match self.members.get(&id) {
+            None if listed || self.identity == 0 => Ok(()),
+            None => Err("it is no member"),
+            Some(Member { incarnation: Some(known), .. }) if *known != incarnation => {
+                Err("its store is not the one that this member came with")
+            }
+            Some(_) => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/federation/tests.rs
@@ -0,0 +1,370 @@
+//! The decisions and the bytes, one by one; whole members are played in `sim::federation` and `tests/federation`.
+
+use super::backoff::Backoff;
+use super::hello::{Challenge, Hello, Key, Welcome};
+use super::log::{Save, Saved};
+use super::membership::{next, Progress, Step};
+use super::node::{founding, Keep};
+use super::records::{EntryRecord, Hard, Kind, MessageKind, MessageRecord, SnapshotRecord};
+use super::settings::FederationSettings;
+use super::state::{Change, Command, State};
+use super::store::{Owner, Store, StoreError};
+use super::wire::{pack, unpack, Bad, Frame, MOST, MOST_HELLO};
+use super::MemberId;
+use crate::config::located::Doc;
+use bytes::BytesMut;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+fn state(members: &[(MemberId, bool)]) -> State {
+    State::founded(7, 1, members.iter().map(|(id, voter)| (*id, format!("site-{id}"), *voter)))
+}
+
+fn entry(index: u64, term: u64) -> EntryRecord {
+    EntryRecord { kind: Kind::Normal, term, index, data: vec![index as u8; 3], context: Vec::new() }
+}
+
+fn append(index: u64, entries: Vec<EntryRecord>) -> MessageRecord {
+    MessageRecord {
+        kind: MessageKind::Append,
+        to: 2,
+        from: 1,
+        term: 3,
+        log_term: 1,
+        index,
+        entries,
+        commit: 0,
+        commit_term: 0,
+        snapshot: None,
+        request_snapshot: 0,
+        reject: false,
+        reject_hint: 0,
+        context: Vec::new(),
+        priority: 0,
+    }
+}
+
+#[test]
+fn the_next_step_to_a_files_members_is_as_the_table_says() {
+    let here = [(1, true), (2, true), (3, true), (4, false)];
+    let all = |lag: u64, active: bool| move |id: &MemberId| (*id, Progress { lag, active });
+    // The file's members, who is active with which lag beyond the leader 1, and what comes next.
+    let change = Step::Change;
+    type Case<'a> = (&'a [(MemberId, bool)], u64, &'a [MemberId], Step);
+    let cases: Vec<Case> = vec![
+        (&here, 0, &[2, 3, 4], Step::Command(Command::Settled { revision: 2 })),
+        (
+            &[(1, true), (2, true), (3, true), (4, false), (5, true)],
+            0,
+            &[2, 3],
+            change(Change::Add { id: 5, site: "site-5".into() }),
+        ),
+        (&[(1, true), (2, true), (3, true), (4, true)], 3, &[2, 3, 4], change(Change::Promote(4))),
+        (&[(1, true), (2, true), (3, true), (4, true)], 99, &[2, 3, 4], Step::Wait), // it has not caught up
+        (&[(1, true), (2, true), (3, true), (4, true)], 0, &[2, 3], Step::Wait),     // it is not heard
+        (&[(1, true), (2, true), (4, false)], 0, &[2, 3, 4], change(Change::Remove(3))),
+        (&[(1, true), (2, true), (4, false)], 0, &[2], change(Change::Remove(3))), // it is the one that is away
+        (&[(1, true), (2, true), (4, false)], 0, &[3], Step::Wait), // without it nothing could be committed
+        (&[(1, true), (2, false), (3, true), (4, false)], 0, &[2, 3], change(Change::Demote(2))),
+        (&[(2, true), (3, true), (4, false)], 0, &[2, 3], Step::Yield),
+        (&[(1, true), (2, true), (3, true)], 0, &[2, 3], change(Change::Remove(4))),
+    ];
+    for (file, lag, active, wanted) in cases {
+        let file: BTreeMap<MemberId, (String, bool)> =
+            file.iter().map(|(id, voter)| (*id, (format!("site-{id}"), *voter))).collect();
+        let progress = active.iter().map(all(lag, true)).collect();
+        assert_eq!(next(&state(&here), (2, &file), 1, &progress), wanted, "{file:?} {lag} {active:?}");
+        assert_eq!(next(&state(&here), (1, &file), 1, &progress), Step::Wait, "an old file changes nothing");
+    }
+}
+
+#[test]
+fn a_state_takes_in_what_means_something_and_never_loses_its_last_voter() {
+    let mut one = state(&[(1, true), (2, false)]);
+    for change in
+        [Change::Remove(1), Change::Demote(1), Change::Promote(1), Change::Remove(9), Change::Promote(9)]
+    {
+        assert!(!one.allows(&change), "{change:?}");
+    }
+    assert!(!one.allows(&Change::Add { id: 2, site: String::new() }) && one.allows(&Change::Promote(2)));
+    one.change(&Change::Promote(2));
+    assert!(one.allows(&Change::Remove(1)));
+    one.apply(&Command::Enrol { id: 1, incarnation: 11 });
+    one.apply(&Command::Enrol { id: 1, incarnation: 12 });
+    assert_eq!(
+        (one.admits(1, 11, false), one.admits(1, 12, true).is_err()),
+        (Ok(()), true),
+        "the first store counts"
+    );
+    assert!(one.admits(9, 1, false).is_err() && one.admits(9, 1, true).is_ok());
+    assert!(
+        State::default().admits(9, 1, false).is_ok(),
+        "who knows nothing yet hears whoever holds the key"
+    );
+    one.apply(&Command::Settled { revision: 5 });
+    one.apply(&Command::Settled { revision: 4 });
+    assert_eq!(one.revision, 5);
+}
+
+#[test]
+fn messages_that_no_member_sends_are_told_from_those_that_it_does() {
+    assert_eq!(append(4, vec![entry(5, 1), entry(6, 3)]).check(), Ok(()));
+    let snapshot = SnapshotRecord { index: 9, term: 2, voters: vec![1], ..SnapshotRecord::default() };
+    let bad = [
+        append(4, vec![entry(6, 1)]),
+        append(4, vec![entry(5, 2), entry(6, 1)]),
+        append(4, vec![entry(5, 4)]),
+        append(u64::MAX, vec![]),
+        MessageRecord { term: 0, ..append(4, vec![]) },
+        MessageRecord { kind: MessageKind::Heartbeat, ..append(4, vec![entry(5, 1)]) },
+        MessageRecord { kind: MessageKind::Snapshot, ..append(4, vec![]) },
+        MessageRecord { snapshot: Some(snapshot.clone()), ..append(4, vec![]) },
+    ];
+    for message in bad {
+        assert!(message.check().is_err(), "{message:?}");
+    }
+    let whole = MessageRecord { kind: MessageKind::Snapshot, snapshot: Some(snapshot), ..append(4, vec![]) };
+    for message in [
+        whole,
+        append(4, vec![entry(5, 1), EntryRecord { kind: Kind::Change, context: vec![7], ..entry(6, 3) }]),
+    ] {
+        assert_eq!(MessageRecord::of(&message.message()).as_ref(), Some(&message), "there and back");
+    }
+}
+
+#[test]
+fn members_know_each_other_by_the_key_for_one_connection_and_messages_by_their_place() {
+    let (key, other) = (Key::new(vec![1; 16]), Key::new(vec![2; 16]));
+    let challenge = Challenge { nonce: [3; 16] };
+    let plain = Hello {
+        cluster: "c".into(),
+        identity: 7,
+        from: 1,
+        to: 2,
+        incarnation: 5,
+        nonce: [4; 16],
+        proof: [0; 32],
+    };
+    let hello = key.prove(&challenge, plain.clone());
+    assert!(key.proves(&challenge, &hello) && !other.proves(&challenge, &hello));
+    for changed in [
+        Hello { from: 3, ..hello.clone() },
+        Hello { to: 3, ..hello.clone() },
+        Hello { incarnation: 6, ..hello.clone() },
+        Hello { identity: 8, ..hello.clone() },
+        Hello { cluster: "d".into(), ..hello.clone() },
+    ] {
+        assert!(!key.proves(&challenge, &changed), "{changed:?}");
+    }
+    assert!(!key.proves(&Challenge { nonce: [9; 16] }, &hello), "another connection's hello");
+    let welcome = key.welcome(&challenge, &hello);
+    assert!(key.welcomes(&challenge, &hello, &welcome));
+    assert!(!key.welcomes(&challenge, &hello, &Welcome { proof: hello.proof }));
+    let (mut out, mut seen) = (key.seal(&challenge, &hello, true), key.seal(&challenge, &hello, true));
+    let first = pack(&Frame::Ping, Some(&mut out)).expect("short");
+    let second = pack(&Frame::Propose(Command::Settled { revision: 3 }), Some(&mut out)).expect("short");
+    let mut input = BytesMut::from(&[&first[..], &second[..]].concat()[..]);
+    assert_eq!(unpack(&mut input, Some(&mut seen)), Ok(Some(Frame::Ping)));
+    assert_eq!(
+        unpack(&mut input, Some(&mut seen)),
+        Ok(Some(Frame::Propose(Command::Settled { revision: 3 })))
+    );
+    for (bytes, way) in [(&first, true), (&second, true), (&first, false)] {
+        let mut seal = key.seal(&challenge, &hello, way);
+        if way {
+            // Said again, or out of its order.
+            seal.tag(b"");
+            seal.tag(b"");
+        }
+        assert_eq!(unpack::<Frame>(&mut BytesMut::from(&bytes[..]), Some(&mut seal)), Err(Bad::Malformed));
+    }
+}
+
+#[test]
+fn bytes_are_taken_whole_and_what_can_never_be_a_message_is_an_error() {
+    let hello = Challenge { nonce: [5; 16] };
+    let bytes = pack(&hello, None).expect("short");
+    let mut input = BytesMut::new();
+    for byte in &bytes[..bytes.len() - 1] {
+        input.extend_from_slice(&[*byte]);
+        assert_eq!(unpack::<Challenge>(&mut input, None), Ok(None));
+    }
+    input.extend_from_slice(&bytes[bytes.len() - 1..]);
+    assert_eq!(unpack(&mut input, None), Ok(Some(hello)));
+    assert!(input.is_empty());
+    let long = (MOST_HELLO as u32 + 1).to_be_bytes();
+    for (bytes, wanted) in [
+        (&[2][..], Bad::Version(2)),
+        (&[&[1][..], &long].concat()[..], Bad::Oversize),
+        (&[1, 0, 0, 0, 1, 7], Bad::Malformed),
+        (&[&[1, 0, 0, 0, 17][..], &[0; 17]].concat()[..], Bad::Malformed), // a byte too many
+    ] {
+        assert_eq!(unpack::<Challenge>(&mut BytesMut::from(bytes), None), Err(wanted), "{bytes:?}");
+    }
+    assert_eq!(pack(&vec![0u8; MOST + 1], None), None, "a message that is too long is not sent");
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..20_000 {
+        let mut bytes = vec![0; random.random_range(0..64)];
+        random.fill(&mut bytes[..]);
+        if bytes.len() > 5 {
+            let length = bytes.len() as u8 - 5;
+            bytes[..5].copy_from_slice(&[1, 0, 0, 0, length]);
+        }
+        let _ = unpack::<Hello>(&mut BytesMut::from(&bytes[..]), None); // ends, whatever it is
+        let _ = postcard::from_bytes::<Frame>(&bytes);
+    }
+}
+
+fn draw(random: &mut ChaCha8Rng, saved: &Saved) -> Save {
+    let last = saved.snapshot.index + saved.entries.len() as u64;
+    let term = saved.hard.term + random.random_range(0..2);
+    match random.random_range(0..4) {
+        0 => Save {
+            hard: Some(Hard { term, vote: random.random_range(0..4), commit: saved.hard.commit }),
+            ..Save::default()
+        },
+        1 if last > saved.hard.commit => {
+            let commit = random.random_range(saved.hard.commit..=last);
+            Save { hard: Some(Hard { commit, ..saved.hard }), ..Save::default() }
+        }
+        2 if saved.hard.commit > saved.snapshot.index => {
+            let index = saved.hard.commit;
+            let term = saved.entries[(index - saved.snapshot.index) as usize - 1].term;
+            let snapshot =
+                SnapshotRecord { index, term, voters: vec![1, 2], learners: vec![3], data: vec![9; 40] };
+            Save { snapshot: Some(snapshot), ..Save::default() }
+        }
+        3 if random.random_range(0..10) == 0 => {
+            let snapshot =
+                SnapshotRecord { index: last + 5, term, voters: vec![1], ..SnapshotRecord::default() };
+            let hard = Some(Hard { term, vote: 0, commit: last + 5 });
+            Save { hard, snapshot: Some(snapshot), replaces: true, ..Save::default() }
+        }
+        _ => {
+            // Not committed ones may be overwritten.
+            let first = random.random_range(saved.hard.commit + 1..=last + 1);
+            let entries =
+                (first..first + random.random_range(1..4)).map(|index| entry(index, saved.hard.term));
+            Save { entries: entries.collect(), ..Save::default() }
+        }
+    }
+}
+
+#[test]
+fn a_store_that_is_opened_again_holds_what_the_copy_in_memory_holds() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for seed in 0..6 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let path = folder.path().join(format!("{seed}.redb"));
+        let mut copy = founding(&state(&[(1, true), (2, true), (3, false)]));
+        Store::create(&path, &Owner::new("c", 1, 77), &copy).expect("made");
+        assert!(matches!(Store::create(&path, &Owner::new("c", 1, 78), &copy), Err(StoreError::Present)));
+        for _ in 0..8 {
+            let (mut store, saved) = Store::open(&path, "c", 1).expect("opened");
+            assert_eq!((&saved, store.owner().incarnation), (&copy, 77), "seed {seed}");
+            for _ in 0..random.random_range(0..6) {
+                let save = draw(&mut random, &copy);
+                copy.apply(&save);
+                assert_eq!(copy.check(), Ok(()), "seed {seed}: {save:?}");
+                store.save(&save).expect("kept");
+            }
+            assert!(matches!(Store::open(&path, "c", 1), Err(StoreError::Locked)), "one process at a time");
+        }
+        assert!(matches!(Store::open(&path, "c", 2), Err(StoreError::Other(1, _))));
+        assert!(matches!(Store::open(&path, "d", 1), Err(StoreError::Other(1, _))));
+    }
+    assert!(matches!(Store::open(&folder.path().join("none"), "c", 1), Err(StoreError::Absent)));
+}
+
+/// Each byte of a small store, altered one at a time (every 37th here): it is an error, or it holds what it held.
+#[test]
+fn a_store_that_was_altered_or_torn_is_an_error_and_never_another_store() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (path, broken) = (folder.path().join("good"), folder.path().join("broken"));
+    let kept = founding(&state(&[(1, true), (2, true), (3, true)]));
+    Store::create(&path, &Owner::new("c", 1, 77), &kept).expect("made");
+    let good = std::fs::read(&path).expect("read");
+    let hook = std::panic::take_hook();
+    std::panic::set_hook(Box::new(|_| {}));
+    let mut errors = 0;
+    for at in (0..good.len().min(40_000)).step_by(37) {
+        let mut bytes = good.clone();
+        bytes[at] ^= 0x55;
+        std::fs::write(&broken, &bytes).expect("written");
+        match Store::open(&broken, "c", 1) {
+            Ok((store, saved)) => {
+                assert_eq!((saved, store.owner().incarnation), (kept.clone(), 77), "byte {at}")
+            }
+            Err(_) => errors += 1,
+        }
+    }
+    for part in 0..8 {
+        std::fs::write(&broken, &good[..good.len() * part / 8]).expect("written");
+        let opened = Store::open(&broken, "c", 1);
+        assert!(matches!(opened, Err(StoreError::Damaged(_) | StoreError::Io(_))), "{part} eighths");
+    }
+    std::panic::set_hook(hook);
+    assert!(errors > 10, "{errors}");
+}
+
+#[test]
+fn the_file_is_read_with_places_and_the_deployed_one_holds_the_defaults() {
+    let deployed = include_str!("../../deploy/federation.hcl");
+    let read = |text: &str| {
+        FederationSettings::parse(Doc { file: "f.hcl", text }).map_err(|error| error.to_string())
+    };
+    let usual: String = deployed
+        .lines()
+        .filter(|line| {
+            !["tick", "election", "heartbeat", "compact", "silent"]
+                .iter()
+                .any(|key| line.trim().starts_with(key))
+        })
+        .map(|line| format!("{line}\n"))
+        .collect();
+    let (deployed, key) = read(deployed).expect("usable");
+    let (defaults, _) = read(&usual).expect("usable");
+    assert_eq!(
+        (deployed.tuning, deployed.tick, deployed.silent),
+        (defaults.tuning, defaults.tick, defaults.silent)
+    );
+    assert_eq!(
+        (key.as_str(), deployed.members.len(), deployed.fixed(&defaults)),
+        ("keys/federation.secret", 3, None)
+    );
+    assert_eq!(deployed.listen, deployed.members[&1].address);
+    assert_ne!(
+        deployed.founded().identity,
+        FederationSettings { cluster: "x".into(), ..deployed.clone() }.founded().identity
+    );
+    for (from, to, wanted) in [
+        ("id       = 1", "id = 9", "f.hcl:6:8: there is no member 9"),
+        ("member \"2\"", "member \"1\"", "a second member 1"),
+        ("7402", "7401", "member 1 has this address, too"),
+        ("heartbeat_ticks = 2", "", "no key"),
+        ("voter   = true", "voter   = false", "0 voters; 1 to 7 may vote"),
+        ("address = \"127.0.0.1:7403\"", "address = \"here\"", "\"here\" is no address"),
+        ("revision = 1 ", "revison = 1 ", "federation has no revision"),
+    ] {
+        let text = if wanted == "no key" {
+            usual.replace("cluster ", "tick_ns = 5\n cluster ")
+        } else {
+            usual.replace(from, to)
+        };
+        let error = read(&text).expect_err(wanted);
+        assert!(error.contains(wanted), "{error} instead of {wanted}");
+    }
+}
+
+#[test]
+fn pauses_double_with_half_of_each_drawn() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut backoff = Backoff::new(20, 1000);
+    for most in [20, 40, 80, 160, 320, 640, 1000, 1000] {
+        let pause = backoff.pause(&mut random);
+        assert!((most / 2..=most).contains(&pause), "{pause} of {most}");
+    }
+    backoff.reset();
+    assert!(backoff.pause(&mut random) <= 20);
+}
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -7,6 +7,8 @@
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
 
+/// The kind of an answer that is lines of text.
+pub const TEXT: &str = "text/plain; charset=utf-8";
 /// Callers at a time; for one more, the one that has been silent longest has to go.
 pub const CALLERS: usize = 8;
 /// A call must be whole this long after its caller connected, us.
@@ -25,6 +27,8 @@
     Healthcheck,
     /// The figures.
     Stats,
+    /// The federation, as JSON.
+    Federation,
 }
 
 struct Session {
@@ -89,7 +93,7 @@
             // It writes nothing more, so half a head never becomes a whole one.
             Ok(None) if got.end => self.close(now, conn, Reason::PeerClosed, net, due),
             Ok(None) => {}
-            Err(status) => self.answer(now, conn, status, "", net, due),
+            Err(status) => self.answer(now, conn, status, (TEXT, ""), net, due),
         }
         None
     }
@@ -100,7 +104,7 @@
         now: i64,
         conn: ConnKey,
         status: u16,
-        body: &str,
+        (kind, body): (&str, &str),
         net: &mut Net,
         due: &mut dyn Schedule<Due>,
     ) {
@@ -109,7 +113,7 @@
         due.remove(session.due);
         session.due = due.add(now + LINGER, Due(conn));
         let mut head = http::start(status, now);
-        http::line(&mut head, "Content-Type", &"text/plain; charset=utf-8");
+        http::line(&mut head, "Content-Type", &kind);
         http::line(&mut head, "Content-Length", &body.len());
         http::line(&mut head, "Cache-Control", &"no-store");
         if status == 405 {
@@ -134,7 +138,7 @@
         match session.answered {
             true => self.close(now, conn, Reason::Done, net, due),
             false if said_nothing => self.close(now, conn, Reason::HeadTimeout, net, due),
-            false => self.answer(now, conn, 408, "", net, due),
+            false => self.answer(now, conn, 408, (TEXT, ""), net, due),
         }
     }
 
@@ -169,6 +173,7 @@
         Ok(match path.split_once('?').map_or(path, |(path, _)| path) {
             "/healthcheck" => Some(Call::Healthcheck),
             "/stats" => Some(Call::Stats),
+            "/federation" => Some(Call::Federation),
             _ => None,
         })
     });
@@ -190,6 +195,7 @@
     fn calls_are_read_byte_by_byte_as_the_table_says() {
         let cases = [
             ("GET /healthcheck HTTP/1.1\r\nHost: h\r\n\r\n", Ok(Some(Call::Healthcheck))),
+            ("GET /federation HTTP/1.1\r\n\r\n", Ok(Some(Call::Federation))),
             ("GET /stats HTTP/1.0\r\n\r\n", Ok(Some(Call::Stats))),
             ("GET /stats?all HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", Ok(Some(Call::Stats))),
             ("GET / HTTP/1.1\r\nHost: h\r\n\r\n", Err(404)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod core;
 pub mod deadlines;
 pub mod expect;
+#[cfg(feature = "federation")]
+pub mod federation;
 pub mod feed;
 pub mod front;
 pub mod interface;
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,11 @@
 use dahliatrack::expect::lint::{lint, points, Severity};
 use dahliatrack::expect::site::Site;
 use dahliatrack::expect::{self, ExpectError, Overrides};
+#[cfg(feature = "federation")]
+use dahliatrack::federation::{
+    settings::FederationSettings,
+    store::{self, Store},
+};
 use dahliatrack::front::signed::gate::{Binding, Gate, Grant, SignError};
 use dahliatrack::lab::flood::{self, Plan};
 use dahliatrack::lab::replay::ReplayError;
@@ -33,6 +38,24 @@
     command: Command,
 }
 
+#[cfg(feature = "federation")]
+#[derive(Subcommand)]
+enum FederationCommand {
+    /// Make a member's store, once: its votes must never be forgotten
+    Init {
+        /// The operator's file of the federation
+        federation: PathBuf,
+        /// The federation runs already and this member is to be added: it begins with nothing and learns all
+        #[arg(long)]
+        join: bool,
+    },
+    /// Read a member's file and its store, and say whether they can be used; its edge proxy must not run
+    Check {
+        /// The operator's file of the federation
+        federation: PathBuf,
+    },
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Serve until SIGTERM or SIGINT, then answer what is open and exit; SIGHUP reads the files again
@@ -49,9 +72,17 @@
         /// The operator's admission file (HCL): caps, rates and reserves of clients' connections; off without it
         #[arg(long, env = "PROXY_ADMISSION")]
         admission: Option<PathBuf>,
+        /// The operator's file of the federation (HCL): whom this edge proxy agrees with on what; off without it
+        #[cfg(feature = "federation")]
+        #[arg(long, env = "PROXY_FEDERATION")]
+        federation: Option<PathBuf>,
         #[command(flatten)]
         log: Log,
     },
+    #[cfg(feature = "federation")]
+    /// Work on the federation's stores
+    #[command(subcommand)]
+    Federation(FederationCommand),
     #[cfg(feature = "control")]
     /// Hand the decisions to other proxies over xDS until SIGTERM or SIGINT; SIGHUP reads the operator's file again
     Control {
@@ -78,6 +109,14 @@
         /// Plant a bug, to see that it is found
         #[arg(long, value_enum)]
         sabotage: Option<Sabotage>,
+        /// Play federations of several members in place of an edge proxy
+        #[cfg(feature = "federation")]
+        #[arg(long)]
+        federation: bool,
+        /// Plant a bug in the federation, to see that it is found
+        #[cfg(feature = "federation")]
+        #[arg(long, value_enum, requires = "federation")]
+        plant: Option<dahliatrack::sim::federation::Planted>,
         /// Failures that are shrunk and told
         #[arg(long, default_value_t = 3)]
         most: usize,
@@ -323,16 +362,50 @@
 
 fn run(command: Command) -> Result<(), Error> {
     match command {
-        Command::Serve { config, signed, admin, admission, log } => {
+        Command::Serve {
+            config,
+            signed,
+            admin,
+            admission,
+            #[cfg(feature = "federation")]
+            federation,
+            log,
+        } => {
             log.start();
-            Server::start(Files { config, signed, admin, admission })?.run()?;
+            #[cfg(not(feature = "federation"))]
+            let federation = None;
+            Server::start(Files { config, signed, admin, admission, federation })?.run()?;
+        }
+        #[cfg(feature = "federation")]
+        Command::Federation(FederationCommand::Init { federation, join }) => {
+            let settings = FederationSettings::read(&federation)?;
+            store::found(&settings, join, rand::random())
+                .map_err(|error| ConfigError::form(&settings.store, error))?;
+            print(&format!("{}: made for member {}", settings.store.display(), settings.id));
+        }
+        #[cfg(feature = "federation")]
+        Command::Federation(FederationCommand::Check { federation }) => {
+            let settings = FederationSettings::read(&federation)?;
+            let (store, saved) = Store::open(&settings.store, &settings.cluster, settings.id)
+                .map_err(|error| ConfigError::form(&settings.store, error))?;
+            let last = saved.snapshot.index + saved.entries.len() as u64;
+            let (id, term) = (store.owner().id, saved.hard.term);
+            print(&format!("member {id}: usable, term {term}, log {}..{last}", saved.snapshot.index));
         }
         #[cfg(feature = "control")]
         Command::Control { config, control, log } => {
             log.start();
             service::run(&service::Files { config, control })?;
         }
-        Command::Sim { seeds, faults, keep, sabotage, most } => {
+        #[cfg(feature = "federation")]
+        Command::Sim { seeds, federation: true, plant, .. } => {
+            let summary = dahliatrack::sim::federation::search(seeds, plant);
+            print(&summary);
+            if !summary.broken.is_empty() {
+                return Err(Error::Broken);
+            }
+        }
+        Command::Sim { seeds, faults, keep, sabotage, most, .. } => {
             let plan = match faults {
                 Some(path) => {
                     let text = dahliatrack::config::read(&path)?;
@@ -420,7 +493,7 @@
 
 /// Reads the files, and says what is in them.
 fn usable(config: PathBuf, Beside { signed, admission }: Beside) -> Result<(), Error> {
-    let files = Files { config, signed, admin: None, admission };
+    let files = Files { config, signed, admin: None, admission, federation: None };
     let on = files.admission()?.enabled;
     let (config, signed) = files.read()?;
     let routes = signed.map(|signed| route_classes(&signed, &config.settings)).transpose()?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -43,6 +43,8 @@
     Upstream,
     /// The control feed.
     Feed,
+    /// Another member of the federation.
+    Federation,
 }
 
 /// What a poll found.
@@ -169,7 +171,7 @@
 pub struct Net {
     poller: Poller,
     conns: Slots<Conn>,
-    count: [usize; 5],
+    count: [usize; 6],
     scratch: Vec<u8>,
     held: usize,
     /// Clients' connections that ended since [`Net::take_closed`] was last called, by number.
@@ -193,7 +195,7 @@
 
     fn with(poller: Poller) -> Self {
         let (conns, scratch, closed) = (Slots::default(), vec![0; CHUNK], Vec::new());
-        Net { poller, conns, count: [0; 5], scratch, held: 0, closed }
+        Net { poller, conns, count: [0; 6], scratch, held: 0, closed }
     }
 
     /// Listens on an address, beside another process if `shared`, and watches it under a number below 2^32.
--- a/src/server/figures.rs
+++ b/src/server/figures.rs
@@ -1,7 +1,7 @@
 //! The operators' calls, and the figures that they are told: read where they are kept, worded here alone.
 
 use super::Server;
-use crate::front::admin::Call;
+use crate::front::admin::{self, Call};
 use crate::interface::ClassId;
 use crate::net::{ConnKey, Role};
 use std::collections::BTreeMap;
@@ -27,9 +27,14 @@
             Call::Healthcheck if self.stopping.is_some() => (503, "stopping\n".into()),
             Call::Healthcheck => (503, "starting\n".into()),
             Call::Stats => (200, self.figures()),
+            Call::Federation => match self.federation.json() {
+                Some(json) => (200, json),
+                None => (404, String::new()),
+            },
         };
+        let kind = if call == Call::Federation { "application/json" } else { admin::TEXT };
         if let Some(door) = &mut self.door {
-            door.front.answer(self.now, conn, status, &body, &mut self.net, &mut self.due);
+            door.front.answer(self.now, conn, status, (kind, &body), &mut self.net, &mut self.due);
         }
     }
 
@@ -71,6 +76,7 @@
         line("reload_success", self.reloads[0]);
         line("reload_failure", self.reloads[1]);
         self.admission_figures(&mut line);
+        self.federation.figures(&mut line);
         text
     }
 }
--- a/src/server/leave.rs
+++ b/src/server/leave.rs
@@ -27,6 +27,7 @@
     pub(super) fn stop(&mut self) {
         info!("stopping");
         self.stopping = Some(self.now);
+        self.federation.stop();
         if self.handover.has_newer() {
             self.leave();
         } else {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -2,6 +2,7 @@
 //! feed to the core and translates between their words; it decides nothing about requests.
 
 mod admit;
+mod federate;
 mod figures;
 mod handover;
 mod leave;
@@ -28,6 +29,7 @@
 use crate::upstream::{self, Happening, Upstream};
 use crate::{GroupId, SettingsError};
 use bytes::Bytes;
+use federate::Tie;
 use handover::{Handover, NEWER, OLDER, PLACE};
 use reload::{Budget, Started};
 use signal_hook::consts::signal::{SIGHUP, SIGINT, SIGTERM};
@@ -161,6 +163,7 @@
     thrift: thrift::Front,
     links: Option<Links>,
     door: Option<Door>,
+    federation: Tie,
     /// Files accepted and turned down at SIGHUP.
     reloads: [u64; 2],
     seed: u64,
@@ -196,8 +199,12 @@
         net.watch(&mut signals, SIGNALS)?;
         let admission = files.admission()?;
         let (config, signed) = files.read()?;
-        let handover = Handover::begin;
-        Self::begin(files, (config, signed, admission), net, Clock::default(), Some(signals), handover)
+        let federation = Tie::read(&files)?;
+        let (seed, handover) = (config.seed, Handover::begin);
+        let read = (config, signed, admission);
+        let mut server = Self::begin(files, read, net, Clock::default(), Some(signals), handover)?;
+        server.federation = Tie::start(federation, seed)?;
+        Ok(server)
     }
 
     /// Starts as a process of a simulated network, with what the files would have held.
@@ -206,7 +213,8 @@
     ///
     /// Settings or routes that cannot be used.
     pub fn start_on(fabric: &Fabric, process: u32, config: Config) -> Result<Self, ServerError> {
-        let files = Files { config: PathBuf::new(), signed: None, admin: None, admission: None };
+        let files =
+            Files { config: PathBuf::new(), signed: None, admin: None, admission: None, federation: None };
         let handover = |addr, _: &mut Net| Handover::begin_on(addr, fabric, process);
         let (net, clock) = (Net::on(fabric, process), Clock::of(fabric));
         Self::begin(files, (config, None, AdmissionSettings::off()), net, clock, None, handover)
@@ -243,6 +251,7 @@
             thrift: thrift::Front::default(),
             links,
             door,
+            federation: Tie::default(),
             reloads: [0; 2],
             seed: config.seed,
             waiting: BTreeMap::new(),
@@ -352,6 +361,7 @@
     /// The end of a process that has stopped.
     pub fn finish(&mut self) {
         self.handover.end(&mut self.net);
+        self.federation.finish();
         self.thrift.stop(self.now, &mut self.net, &mut self.due);
         if let Some(links) = &mut self.links {
             links.front.stop(self.now, &mut self.net, &mut self.due);
@@ -379,6 +389,7 @@
                 handed.into_iter().for_each(|handed| self.adopt(handed));
                 if others {
                     self.share();
+                    self.federation.newer(self.handover.has_newer());
                 }
                 if others && self.is_leaving() && !self.handover.has_newer() {
                     self.thrift.resume();
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -110,6 +110,7 @@
     /// All that can fail comes first, so that nothing is taken over in part.
     fn take_over(&mut self) -> Result<(), ServerError> {
         let admission = self.files.admission()?;
+        let federation = self.federation.check(&self.files)?;
         let (config, signed) = self.files.read()?;
         let unusable = |text: String| ConfigError::form(&self.files.config, text);
         if let Some(key) = self.started.keys.difference(&config.keys).next() {
@@ -123,6 +124,7 @@
         let (name, listen) = (self.started.name.clone(), self.started.listen);
         self.core.reconfigure(settings.settings.clone());
         self.admitting.reconfigure(admission);
+        self.federation.reload(federation);
         self.names = settings.names.clone();
         self.started = Started { name, listen, keys, limits, settings };
         self.share();
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -6,6 +6,8 @@
 
 pub mod customers;
 pub mod faults;
+#[cfg(feature = "federation")]
+pub mod federation;
 pub mod hosts;
 pub mod rules;
 pub mod runner;
--- a/src/sim/tests.rs
+++ b/src/sim/tests.rs
@@ -122,3 +122,24 @@
         ]
     });
 }
+
+#[cfg(feature = "federation")]
+#[test]
+fn federations_keep_their_rules_repeat_by_their_seed_and_planted_bugs_are_found() {
+    use super::federation::{run, search, Planted};
+    let summary = search(0..120, None);
+    assert_eq!(summary.broken, std::collections::BTreeMap::new());
+    let [commands, leaders, files] = summary.counts;
+    assert!(commands > 5000 && leaders > 200 && files > 100, "{summary}");
+    for seed in 0..5 {
+        assert_eq!(run(seed, None), run(seed, None), "seed {seed}");
+    }
+    for (planted, rule) in [
+        (Planted::ForgottenVote, "two-leaders"),
+        (Planted::UnsyncedLog, "message"),
+        (Planted::EmptyStore, "message"),
+    ] {
+        let found = search(150..300, Some(planted)).broken;
+        assert!(found.values().any(|breach| breach.rule == rule), "{planted:?}: {found:?}");
+    }
+}
