Lease duties to one edge proxy at a time, with fencing tokens and the holder's own clock

Change: federation::duties (holder, leader's and receiver's side; pure), leases in the replicated state, tokens of one count that only grows, lease_ms, guard_ms and drift in the file, the duty publish that voters stand for, duties on the door; given up at SIGTERM before the lead is handed on.

--- a/benches/federation.rs
+++ b/benches/federation.rs
@@ -56,6 +56,38 @@
         }
         told(&format!("leader after {fault}"), &times, "ms");
     }
+    for fault in ["kill", "stop", "cut", "term"] {
+        let mut times = Histogram::<u64>::new(3).expect("digits");
+        let mut rig = Rig::with(&format!("bench-duty-{fault}"), voters(1..=3), defaults);
+        for _ in 0..ROUNDS {
+            rig.agree(&[1, 2, 3]);
+            let lease = |view: &serde_json::Value| {
+                let duty = view["duties"].as_array()?.first()?;
+                Some((duty["holder"].as_u64()?, duty["token"].as_u64()?))
+            };
+            let (holder, token) =
+                lease(&rig.until(1, "a holder", |view| lease(view).is_some())).expect("one");
+            let others = rig.others(holder);
+            let since = Instant::now();
+            match fault {
+                "kill" => rig.kill(holder),
+                "stop" => rig.signal(holder, "-STOP"),
+                "cut" => rig.isolate(holder, Mode::Cut, (true, true)),
+                _ => rig.signal(holder, "-TERM"),
+            }
+            rig.until(others[0], "another holder", |view| lease(view).is_some_and(|(_, next)| next > token));
+            times.record(since.elapsed().as_millis() as u64).expect("in range");
+            match fault {
+                "stop" => rig.signal(holder, "-CONT"),
+                "cut" => rig.isolate(holder, Mode::Pass, (true, true)),
+                _ => {
+                    rig.kill(holder);
+                    rig.start(holder);
+                }
+            }
+        }
+        told(&format!("holder after {fault}"), &times, "ms");
+    }
 }
 
 fn requests() {
--- a/deploy/federation.hcl
+++ b/deploy/federation.hcl
@@ -14,6 +14,9 @@
   heartbeat_ticks = 2
   compact_after   = 1000
   silent_ms       = 2000
+  lease_ms        = 3000
+  guard_ms        = 200
+  drift           = 0.05
 
   member "1" {
     site    = "north"
--- a/src/federation/mod.rs
+++ b/src/federation/mod.rs
@@ -2,11 +2,13 @@
 //! and the state that all of them make of it. It runs on a thread of its own; the data path never waits for it.
 //!
 //! Decisions do no I/O and take ticks and messages as they come: [`node`] is one member (the consensus itself is the `raft`
-//! crate's), [`state`] what the log's commands make, [`membership`] which change comes next, [`backoff`] when to dial again.
+//! crate's), [`state`] what the log's commands make, [`membership`] which change comes next, [`duties`] who holds
+//! what alone, [`backoff`] when to dial again.
 //! [`store`] keeps what must survive, [`wire`] and [`hello`] are the bytes between members, [`runtime`] ties them to
 //! sockets. Design and operators' page: docs/federation.md.
 
 pub mod backoff;
+pub mod duties;
 pub mod hello;
 pub mod log;
 pub mod membership;
--- a/src/federation/node.rs
+++ b/src/federation/node.rs
@@ -349,6 +349,11 @@
         std::mem::take(&mut self.committed)
     }
 
+    /// Its number.
+    pub fn id(&self) -> MemberId {
+        self.id
+    }
+
     /// Whether this member leads.
     pub fn is_leader(&self) -> bool {
         self.raw.raft.state == StateRole::Leader
--- a/src/federation/runtime.rs
+++ b/src/federation/runtime.rs
@@ -2,6 +2,7 @@
 //! pause or to take a new file, reads what it last published, and waits for none of it.
 
 use super::backoff::Backoff;
+use super::duties::{Grantor, Holder};
 use super::hello::Hello;
 use super::links::{Links, Me, LISTENER};
 use super::log::Save;
@@ -10,14 +11,14 @@
 use super::settings::FederationSettings;
 use super::state::Command;
 use super::store::{Store, StoreError};
-use super::view::{MemberView, View};
+use super::view::{DutyView, MemberView, View};
 use super::wire::Frame;
 use super::MemberId;
 use crate::net::{Net, Ready};
 use mio::net::UnixStream;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -35,6 +36,8 @@
 const REOPEN: [i64; 2] = [50_000, 2_000_000];
 /// How often a member without a place in the state says that it is here, us.
 const ENROL: i64 = 200_000;
+/// The duty of proposing what all sites are to hold in common; voters stand for it.
+const PUBLISH_DUTY: &str = "publish";
 /// How often the view is brought up to date, us.
 const PUBLISH: i64 = 50_000;
 
@@ -140,7 +143,7 @@
 
 enum Phase {
     /// Takes part.
-    Runs { node: Box<Node>, store: Box<Store> },
+    Runs { node: Box<Node>, store: Box<Store>, holder: Holder, grantor: Grantor },
     /// Takes no part until then.
     Halted { until: i64 },
     /// A newer process has the store.
@@ -268,7 +271,7 @@
                 Ok(Word::Reload(settings)) => {
                     self.settings = *settings;
                     let (silent, key) = (self.settings.silent, self.settings.key.clone());
-                    if let Phase::Runs { node, store } = &self.phase {
+                    if let Phase::Runs { node, store, .. } = &self.phase {
                         let (identity, incarnation) = (node.state().0.identity, store.owner().incarnation);
                         let FederationSettings { cluster, id, .. } = self.settings.clone();
                         self.links.set_me(Me { cluster, id, identity, incarnation, key }, silent);
@@ -284,7 +287,11 @@
 
     fn leave(&mut self, now: i64, ends: bool) {
         let ends = ends || matches!(self.leaving, Some((_, true)));
-        if let Phase::Runs { node, .. } = &mut self.phase {
+        if let Phase::Runs { node, holder, .. } = &mut self.phase {
+            // Duties first: what was proposed before the lead goes is still in the log.
+            for command in holder.stand(&BTreeSet::new()) {
+                propose(node, &mut self.links, now, command);
+            }
             node.yield_lead();
         }
         self.leaving = Some((now + YIELD, ends));
@@ -326,7 +333,9 @@
                 self.backoff.reset();
                 self.view.halted = None;
                 self.view.listen = Some(address.to_string());
-                self.phase = Phase::Runs { node: Box::new(node), store: Box::new(store) };
+                let terms = self.settings.terms;
+                let (holder, grantor) = (Holder::new(id, terms, self.random.random()), Grantor::new(terms));
+                self.phase = Phase::Runs { node: Box::new(node), store: Box::new(store), holder, grantor };
                 self.next_tick = now;
                 info!(id, "federation listens on {address}");
             }
@@ -361,7 +370,7 @@
     }
 
     fn go_on(&mut self, now: i64, said: Vec<(MemberId, Frame)>) {
-        let Phase::Runs { node, store } = &mut self.phase else { return };
+        let Phase::Runs { node, store, holder, grantor } = &mut self.phase else { return };
         for (from, frame) in said {
             match frame {
                 Frame::Raft(message) if message.from == from => {
@@ -370,8 +379,9 @@
                     }
                 }
                 Frame::Propose(command) if speaks_for(from, &command) => {
-                    let Command::Enrol { id, .. } = command else { continue };
-                    if node.state().0.members.get(&id).is_some_and(|member| member.incarnation.is_none()) {
+                    let enrols = matches!(command, Command::Enrol { .. });
+                    let member = node.state().0.members.get(&from);
+                    if member.is_some_and(|member| !enrols || member.incarnation.is_none()) {
                         node.propose(&command);
                     }
                 }
@@ -385,6 +395,13 @@
             self.links.tick(now);
             if self.leaving.is_none() {
                 node.reconcile(self.settings.revision, &self.settings.wanted());
+                let state = node.state().0.clone();
+                let votes = state.members.get(&self.settings.id).is_some_and(|own| own.voter);
+                let stands = votes.then(|| PUBLISH_DUTY.to_owned()).into_iter().collect();
+                let mut asks = holder.stand(&stands);
+                asks.extend(holder.due(now, &state));
+                asks.extend(grantor.due(now, &state, node.is_leader()));
+                asks.into_iter().for_each(|command| propose(node, &mut self.links, now, command));
             }
             if self.enrol_at <= now {
                 self.enrol_at = now + ENROL;
@@ -393,12 +410,7 @@
                 let incarnation = store.owner().incarnation;
                 if here.is_some_and(|member| member.incarnation.is_none()) {
                     let command = Command::Enrol { id, incarnation };
-                    let leader = node.leader().0;
-                    if leader == id {
-                        node.propose(&command);
-                    } else if leader != 0 {
-                        self.links.send(now, leader, &Frame::Propose(command));
-                    }
+                    propose(node, &mut self.links, now, command);
                 } else if here.and_then(|member| member.incarnation).is_some_and(|known| known != incarnation)
                 {
                     let why =
@@ -424,6 +436,7 @@
             }
         }
         node.committed();
+        holder.look(node.state().0);
         let mut news = false;
         for happened in node.happened() {
             news = true;
@@ -449,7 +462,14 @@
 
     /// Brings the view up to date.
     fn look(&mut self) {
-        let Phase::Runs { node, .. } = &self.phase else { return };
+        let Phase::Runs { node, holder, .. } = &self.phase else { return };
+        let now = self.now();
+        let duty = |(duty, lease): (&String, &super::state::Lease)| DutyView {
+            duty: duty.clone(),
+            holder: lease.holder,
+            token: lease.token,
+            held: holder.token(now, duty) == Some(lease.token),
+        };
         let ((state, applied), progress) = (node.state(), node.progress());
         let (last, committed) = node.places();
         let (leader, term) = node.leader();
@@ -474,6 +494,7 @@
             revision: state.revision,
             file_revision: self.settings.revision,
             members: state.members.iter().map(member).collect(),
+            duties: state.duties.iter().map(duty).collect(),
             dropped: self.links.dropped,
             refused: self.links.refused,
             halted: None,
@@ -490,7 +511,26 @@
 
 /// Whether a member may propose this: it speaks for itself alone.
 fn speaks_for(from: MemberId, command: &Command) -> bool {
-    matches!(command, Command::Enrol { id, .. } if *id == from)
+    match command {
+        Command::Enrol { id, .. }
+        | Command::Acquire { id, .. }
+        | Command::Renew { id, .. }
+        | Command::Release { id, .. } => *id == from,
+        Command::Settled { .. } | Command::Expire { .. } => false,
+    }
+}
+
+/// Proposes where the lead is.
+fn propose(node: &mut Node, links: &mut Links, now: i64, command: Command) {
+    match node.leader().0 {
+        0 => {}
+        leader if leader == node.id() => {
+            node.propose(&command);
+        }
+        leader => {
+            links.send(now, leader, &Frame::Propose(command));
+        }
+    }
 }
 
 /// The others' addresses. Voters talk to each other without being asked; a leader dials whoever else is a member.
--- a/src/federation/settings.rs
+++ b/src/federation/settings.rs
@@ -16,6 +16,7 @@
 //! }
 //! ```
 
+use super::duties::Terms;
 use super::hello::Key;
 use super::node::Tuning;
 use super::state::State;
@@ -65,6 +66,8 @@
     pub tick: i64,
     /// Elections, heartbeats, snapshots.
     pub tuning: Tuning,
+    /// How long duties are leased, and by which clocks.
+    pub terms: Terms,
     /// A connection on which nothing was heard for so long is given up, us.
     pub silent: i64,
     /// The members.
@@ -135,6 +138,14 @@
         let heartbeat_ticks = whole("heartbeat_ticks", 2, 1, 1000)? as usize;
         let compact_after = whole("compact_after", 1000, 1, 1_000_000)?;
         let silent = whole("silent_ms", 2000, 50, 600_000)? as i64 * 1000;
+        let span = whole("lease_ms", 3000, 100, 600_000)? as i64 * 1000;
+        let guard = whole("guard_ms", 200, 0, 600_000)? as i64 * 1000;
+        if 2 * guard >= span {
+            let at = reader.place_of("guard_ms").or(reader.place_of("lease_ms")).unwrap_or(at);
+            return Err(doc.error(at, "guard_ms takes half of lease_ms or more"));
+        }
+        let drift = reader.number("drift", 0.0, 0.5)?.map_or(0.05, |drift| drift.value);
+        let terms = Terms { span, guard, drift };
         if 2 * heartbeat_ticks > election_ticks {
             let at = reader.place_of("heartbeat_ticks").or(reader.place_of("election_ticks")).unwrap_or(at);
             return Err(doc.error(at, "an election waits for two heartbeats at the least"));
@@ -185,6 +196,7 @@
             revision: revision.value,
             tick,
             tuning,
+            terms,
             silent,
             members,
         };
@@ -217,6 +229,7 @@
             ("listen", self.listen != new.listen),
             ("store", self.store != new.store),
             ("tick_ms", self.tick != new.tick),
+            ("lease_ms, guard_ms or drift", self.terms != new.terms),
             ("election_ticks, heartbeat_ticks or compact_after", self.tuning != new.tuning),
         ];
         differs.iter().find(|(_, differs)| *differs).map(|(key, _)| *key)
--- a/src/federation/state.rs
+++ b/src/federation/state.rs
@@ -48,6 +48,59 @@
         /// The file's revision.
         revision: u64,
     },
+    /// A member asks for a duty that is free.
+    Acquire {
+        /// The duty.
+        duty: String,
+        /// Who asks.
+        id: MemberId,
+        /// The ask's number at that member.
+        ask: u64,
+    },
+    /// A holder asks for more time.
+    Renew {
+        /// The duty.
+        duty: String,
+        /// Who holds it.
+        id: MemberId,
+        /// Its token.
+        token: u64,
+        /// The ask's number at that member.
+        ask: u64,
+    },
+    /// A holder leaves a duty.
+    Release {
+        /// The duty.
+        duty: String,
+        /// Who holds it.
+        id: MemberId,
+        /// Its token.
+        token: u64,
+    },
+    /// The leader saw this lease run out.
+    Expire {
+        /// The duty.
+        duty: String,
+        /// Its token.
+        token: u64,
+        /// The last ask that was granted: a renewal since then saves the lease.
+        ask: u64,
+    },
+}
+
+/// Duties that may be held at once, and bytes of a duty's name.
+pub const MOST_DUTIES: usize = 4096;
+const MOST_NAME: usize = 128;
+
+/// Who holds a duty.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The member.
+    pub holder: MemberId,
+    /// The fencing token: each grant of any duty has a higher one than all before.
+    pub token: u64,
+    /// The ask that was granted last.
+    pub ask: u64,
 }
 
 /// The state.
@@ -59,6 +112,10 @@
     pub revision: u64,
     /// The members.
     pub members: BTreeMap<MemberId, Member>,
+    /// Who holds which duty.
+    pub duties: BTreeMap<String, Lease>,
+    /// The last token that was given.
+    pub tokens: u64,
 }
 
 impl State {
@@ -69,7 +126,7 @@
         founders: impl Iterator<Item = (MemberId, String, bool)>,
     ) -> Self {
         let member = |(id, site, voter)| (id, Member { site, voter, incarnation: None });
-        State { identity, revision, members: founders.map(member).collect() }
+        State { identity, revision, members: founders.map(member).collect(), ..State::default() }
     }
 
     /// Takes a command in. What means nothing (any more) changes nothing: all members must agree on that, too.
@@ -81,6 +138,30 @@
                 }
             }
             Command::Settled { revision } => self.revision = self.revision.max(*revision),
+            Command::Acquire { duty, id, ask } => {
+                let room = self.duties.len() < MOST_DUTIES && duty.len() <= MOST_NAME;
+                if room && !self.duties.contains_key(duty) {
+                    self.tokens += 1;
+                    let lease = Lease { holder: *id, token: self.tokens, ask: *ask };
+                    self.duties.insert(duty.clone(), lease);
+                }
+            }
+            Command::Renew { duty, id, token, ask } => {
+                let lease = self.duties.get_mut(duty);
+                if let Some(lease) = lease.filter(|l| (l.holder, l.token) == (*id, *token)) {
+                    lease.ask = *ask;
+                }
+            }
+            Command::Release { duty, id, token } => {
+                if self.duties.get(duty).is_some_and(|l| (l.holder, l.token) == (*id, *token)) {
+                    self.duties.remove(duty);
+                }
+            }
+            Command::Expire { duty, token, ask } => {
+                if self.duties.get(duty).is_some_and(|l| (l.token, l.ask) == (*token, *ask)) {
+                    self.duties.remove(duty);
+                }
+            }
         }
     }
 
--- a/src/federation/tests.rs
+++ b/src/federation/tests.rs
@@ -317,7 +317,7 @@
     let usual: String = deployed
         .lines()
         .filter(|line| {
-            !["tick", "election", "heartbeat", "compact", "silent"]
+            !["tick", "election", "heartbeat", "compact", "silent", "lease", "guard", "drift"]
                 .iter()
                 .any(|key| line.trim().starts_with(key))
         })
@@ -326,8 +326,8 @@
     let (deployed, key) = read(deployed).expect("usable");
     let (defaults, _) = read(&usual).expect("usable");
     assert_eq!(
-        (deployed.tuning, deployed.tick, deployed.silent),
-        (defaults.tuning, defaults.tick, defaults.silent)
+        (deployed.tuning, deployed.terms, deployed.tick, deployed.silent),
+        (defaults.tuning, defaults.terms, defaults.tick, defaults.silent)
     );
     assert_eq!(
         (key.as_str(), deployed.members.len(), deployed.fixed(&defaults)),
--- a/src/federation/view.rs
+++ b/src/federation/view.rs
@@ -22,6 +22,19 @@
     pub active: Option<bool>,
 }
 
+/// A duty and who holds it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct DutyView {
+    /// The duty.
+    pub duty: String,
+    /// The member that has its lease.
+    pub holder: MemberId,
+    /// The fencing token.
+    pub token: u64,
+    /// Whether this member holds it and may act under it as of now, by its own clock.
+    pub held: bool,
+}
+
 /// The federation as this member sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct View {
@@ -51,6 +64,8 @@
     pub file_revision: u64,
     /// The members.
     pub members: Vec<MemberView>,
+    /// The duties that are leased.
+    pub duties: Vec<DutyView>,
     /// Messages that did not fit a peer's queue, or whose peer was not there.
     pub dropped: u64,
     /// Connections that were refused.
--- /dev/null
+++ b/tests/federation/duties.rs
@@ -0,0 +1,104 @@
+//! A duty is held by one at a time, whoever ends, stalls or is cut off, and each holder's token is higher than all before.
+
+use crate::relay::Mode;
+use crate::rig::{voters, Rig};
+use serde_json::Value;
+
+/// Who holds a duty by this view, and under which token.
+fn lease(view: &Value) -> Option<(u64, u64)> {
+    let duty = view["duties"].as_array()?.iter().find(|duty| duty["duty"] == "publish")?;
+    Some((duty["holder"].as_u64()?, duty["token"].as_u64()?))
+}
+
+/// Whether a member may act, by its own clock.
+fn acts(view: &Value) -> bool {
+    view["duties"].as_array().is_some_and(|duties| duties.iter().any(|duty| duty["held"] == true))
+}
+
+fn rig(name: &str) -> Rig {
+    Rig::with(name, voters(1..=3), |text| {
+        text.replace("tick_ms", "lease_ms = 800\n guard_ms = 100\n tick_ms")
+    })
+}
+
+/// Waits until some member of these may act, and gives who and under which token.
+fn holder(rig: &Rig, among: &[u64]) -> (u64, u64) {
+    let view = rig.until(among[0], "a holder", |view| lease(view).is_some_and(|(id, _)| among.contains(&id)));
+    let (id, _) = lease(&view).expect("one");
+    let view = rig.until(id, "it may act", acts);
+    lease(&view).expect("its own")
+}
+
+/// Lets somebody else hold it after `fault` befell the holder; gives the old and the new holder with tokens.
+fn taken_over(rig: &mut Rig, fault: impl Fn(&mut Rig, u64)) -> [(u64, u64); 2] {
+    let before = holder(rig, &[1, 2, 3]);
+    fault(rig, before.0);
+    let others: Vec<u64> = (1..=3).filter(|id| *id != before.0).collect();
+    let after = holder(rig, &others);
+    assert!(after.1 > before.1, "{after:?} after {before:?}");
+    [before, after]
+}
+
+#[test]
+fn a_killed_holder_is_followed_by_another_with_a_higher_token_and_no_token_comes_back() {
+    let mut rig = rig("duty-killed");
+    let [before, after] = taken_over(&mut rig, |rig, id| rig.kill(id));
+    rig.start(before.0);
+    (1..=3).for_each(|id| rig.kill(id));
+    (1..=3).for_each(|id| rig.start(id));
+    rig.agree(&[1, 2, 3]);
+    // The lease may be found and renewed by its holder's next process; another's has a higher token.
+    let now = holder(&rig, &[1, 2, 3]);
+    assert!(now.1 > after.1 || now == after, "{now:?} after {after:?}");
+}
+
+#[test]
+fn a_holder_that_was_stopped_past_its_lease_does_nothing_when_it_is_woken() {
+    let mut rig = rig("duty-stopped");
+    let [before, after] = taken_over(&mut rig, |rig, id| rig.signal(id, "-STOP"));
+    rig.signal(before.0, "-CONT");
+    // From its first word on: nothing of what it published before it was stopped is an act of now.
+    let view = rig.until(before.0, "the new holder", |view| lease(view) == Some(after));
+    assert!(!acts(&view), "{view}");
+    assert_eq!(holder(&rig, &[after.0]).0, after.0);
+}
+
+#[test]
+fn a_holder_that_is_cut_off_from_all_but_its_clients_stops_by_its_own_clock() {
+    for mode in [Mode::Cut, Mode::Hold] {
+        let mut rig = rig(&format!("duty-cut-{mode:?}"));
+        let [before, after] = taken_over(&mut rig, |rig, id| {
+            rig.isolate(id, mode, (true, true));
+            rig.until(id, "it may act no more", |view| !acts(view));
+            rig.serves(id);
+        });
+        let view = rig.view(before.0);
+        assert!(!acts(&view) && lease(&view) == Some(before), "it knows no other, and does not act: {view}");
+        rig.isolate(before.0, Mode::Pass, (true, true));
+        rig.until(before.0, "the new holder", |view| lease(view).is_some_and(|lease| lease.1 >= after.1));
+    }
+}
+
+/// It hears and is not heard: its renewals reach nobody.
+#[test]
+fn a_holder_that_is_not_heard_loses_its_duty() {
+    let mut rig = rig("duty-unheard");
+    let (id, token) = holder(&rig, &[1, 2, 3]);
+    rig.isolate(id, Mode::Hold, (true, false));
+    let others: Vec<u64> = (1..=3).filter(|other| *other != id).collect();
+    let after = holder(&rig, &others);
+    assert!(after.1 > token);
+    rig.until(id, "it may act no more", |view| !acts(view));
+    rig.isolate(id, Mode::Pass, (true, false));
+    rig.until(id, "the new holder", |view| lease(view).is_some_and(|lease| lease.1 >= after.1));
+}
+
+#[test]
+fn a_holder_that_is_told_to_end_hands_its_duty_on_at_once() {
+    let mut rig = rig("duty-term");
+    let since = std::time::Instant::now();
+    let [before, _] = taken_over(&mut rig, |rig, id| rig.signal(id, "-TERM"));
+    // Without the release another would wait for the lease's end: it was renewed a moment ago.
+    println!("{before:?} followed after {:?}", since.elapsed());
+    rig.kill(before.0);
+}
--- a/tests/federation/main.rs
+++ b/tests/federation/main.rs
@@ -3,6 +3,7 @@
 //! for is told by the program, on its log or its door.
 #![cfg(feature = "federation")]
 
+mod duties;
 mod log;
 mod members;
 mod relay;
