--- a/benches/federation.rs
+++ b/benches/federation.rs
@@ -14,6 +14,7 @@
 use hdrhistogram::Histogram;
 use relay::Mode;
 use rig::{voters, Rig};
+use serde_json::Value;
 use std::time::Instant;
 
 const ROUNDS: usize = 20;
@@ -29,64 +30,47 @@
     println!("{what}: p50 {p50} p99 {p99} max {} {unit} ({} plays)", times.max(), times.len());
 }
 
-fn takeovers() {
-    for fault in ["kill", "stop", "cut", "term"] {
-        let mut times = Histogram::<u64>::new(3).expect("digits");
-        let mut rig = Rig::with(&format!("bench-{fault}"), voters(1..=3), defaults);
-        for _ in 0..ROUNDS {
-            let leader = rig.agree(&[1, 2, 3]);
-            let others = rig.others(leader);
-            let since = Instant::now();
-            match fault {
-                "kill" => rig.kill(leader),
-                "stop" => rig.signal(leader, "-STOP"),
-                "cut" => rig.isolate(leader, Mode::Cut, (true, true)),
-                _ => rig.signal(leader, "-TERM"),
-            }
-            rig.until(others[0], "another leader", |view| view["leader"] != 0 && view["leader"] != leader);
-            times.record(since.elapsed().as_millis() as u64).expect("in range");
-            match fault {
-                "stop" => rig.signal(leader, "-CONT"),
-                "cut" => rig.isolate(leader, Mode::Pass, (true, true)),
-                _ => {
-                    rig.kill(leader);
-                    rig.start(leader);
-                }
-            }
-        }
-        told(&format!("leader after {fault}"), &times, "ms");
-    }
+/// Who leads, and in which term.
+fn leader(view: &Value) -> Option<(u64, u64)> {
+    Some((view["leader"].as_u64().filter(|id| *id != 0)?, view["term"].as_u64()?))
+}
+
+/// Who holds the first duty, and under which token.
+fn holder(view: &Value) -> Option<(u64, u64)> {
+    let duty = view["duties"].as_array()?.first()?;
+    Some((duty["holder"].as_u64()?, duty["token"].as_u64()?))
+}
+
+/// How long it is until another member has what `who` tells, with a higher number.
+fn takeovers(what: &str, who: impl Fn(&Value) -> Option<(u64, u64)>) {
     for fault in ["kill", "stop", "cut", "term"] {
         let mut times = Histogram::<u64>::new(3).expect("digits");
-        let mut rig = Rig::with(&format!("bench-duty-{fault}"), voters(1..=3), defaults);
+        let mut rig = Rig::with(&format!("bench-{what}-{fault}"), voters(1..=3), defaults);
         for _ in 0..ROUNDS {
             rig.agree(&[1, 2, 3]);
-            let lease = |view: &serde_json::Value| {
-                let duty = view["duties"].as_array()?.first()?;
-                Some((duty["holder"].as_u64()?, duty["token"].as_u64()?))
-            };
-            let (holder, token) =
-                lease(&rig.until(1, "a holder", |view| lease(view).is_some())).expect("one");
-            let others = rig.others(holder);
+            let (id, number) = who(&rig.until(1, what, |view| who(view).is_some())).expect("one");
+            let others = rig.others(id);
             let since = Instant::now();
             match fault {
-                "kill" => rig.kill(holder),
-                "stop" => rig.signal(holder, "-STOP"),
-                "cut" => rig.isolate(holder, Mode::Cut, (true, true)),
-                _ => rig.signal(holder, "-TERM"),
+                "kill" => rig.kill(id),
+                "stop" => rig.signal(id, "-STOP"),
+                "cut" => rig.isolate(id, Mode::Cut, (true, true)),
+                _ => rig.signal(id, "-TERM"),
             }
-            rig.until(others[0], "another holder", |view| lease(view).is_some_and(|(_, next)| next > token));
+            rig.until(others[0], "another", |view| {
+                who(view).is_some_and(|(next, n)| next != id && n > number)
+            });
             times.record(since.elapsed().as_millis() as u64).expect("in range");
             match fault {
-                "stop" => rig.signal(holder, "-CONT"),
-                "cut" => rig.isolate(holder, Mode::Pass, (true, true)),
+                "stop" => rig.signal(id, "-CONT"),
+                "cut" => rig.isolate(id, Mode::Pass, (true, true)),
                 _ => {
-                    rig.kill(holder);
-                    rig.start(holder);
+                    rig.kill(id);
+                    rig.start(id);
                 }
             }
         }
-        told(&format!("holder after {fault}"), &times, "ms");
+        told(&format!("{what} after {fault}"), &times, "ms");
     }
 }
 
@@ -118,6 +102,7 @@
     if std::env::args().any(|arg| arg == "--list" || arg == "--test") {
         return;
     }
-    takeovers();
+    takeovers("leader", leader);
+    takeovers("holder", holder);
     requests();
 }
--- a/src/federation/runtime.rs
+++ b/src/federation/runtime.rs
@@ -201,9 +201,7 @@
                 Ok(true) => {}
                 Ok(false) => break,
                 Err(panic) => {
-                    let text = panic.downcast_ref::<String>().cloned();
-                    let text = text.or_else(|| panic.downcast_ref::<&str>().map(|text| (*text).to_owned()));
-                    self.halt(&format!("a check failed: {}", text.unwrap_or_default()));
+                    self.halt(&format!("a check failed: {}", crate::caught::text(&*panic)));
                 }
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 struct Readme;
 
 pub mod admission;
+pub mod caught;
 pub mod config;
 pub mod control;
 pub mod core;
--- a/src/sim/federation.rs
+++ b/src/sim/federation.rs
@@ -610,7 +610,7 @@
     let play = |seed| {
         let played = catch_unwind(AssertUnwindSafe(|| run(seed, planted)));
         played.unwrap_or_else(|panic| {
-            let text = panic.downcast_ref::<String>().cloned().unwrap_or_else(|| "a panic".to_owned());
+            let text = crate::caught::text(&*panic);
             Outcome { breaches: vec![Breach { rule: "panic", at: 0, text }], trace: 0, counts: [0; 4] }
         })
     };
--- a/src/sim/runner.rs
+++ b/src/sim/runner.rs
@@ -2,6 +2,7 @@
 
 use super::faults::{Fault, Plan};
 use super::world::{run, Outcome, Sabotage};
+use crate::caught;
 use rayon::prelude::*;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -50,10 +51,7 @@
 pub fn play(plan: &Plan, seed: u64, faults: &[Fault], sabotage: Option<Sabotage>) -> Outcome {
     let played = catch_unwind(AssertUnwindSafe(|| run(plan, seed, faults, sabotage)));
     played.unwrap_or_else(|panic| {
-        let text = panic.downcast_ref::<String>().cloned();
-        let text = text.or_else(|| panic.downcast_ref::<&str>().map(|text| (*text).to_owned()));
-        let text = text.unwrap_or_else(|| "a panic".to_owned());
-        let breach = super::rules::Breach { rule: "panic", at: 0, text };
+        let breach = super::rules::Breach { rule: "panic", at: 0, text: caught::text(&*panic) };
         Outcome { breaches: vec![breach], trace: 0, steps: 0, answers: [0; 4], ties: 0, processes: 0 }
     })
 }
