Let the log say first by which file the members go, so that an older file takes back nothing

Cause: a leader with file 2 removed whom another with file 3 had just added, since only a file that holds was written (membership::next); the member was added again and had taken its removal for good. Change: Command::Begun goes before the first change.

--- a/src/federation/membership.rs
+++ b/src/federation/membership.rs
@@ -38,9 +38,12 @@
     leader: MemberId,
     progress: &BTreeMap<MemberId, Progress>,
 ) -> Step {
-    if revision <= state.revision {
+    if revision <= state.revision || revision < state.begun {
         return Step::Wait;
     }
+    if revision > state.begun {
+        return Step::Command(Command::Begun { revision });
+    }
     if let Some((id, (site, _))) = wanted.iter().find(|(id, _)| !state.members.contains_key(id)) {
         return Step::Change(Change::Add { id: *id, site: site.clone() });
     }
--- a/src/federation/runtime.rs
+++ b/src/federation/runtime.rs
@@ -514,7 +514,7 @@
         | Command::Acquire { id, .. }
         | Command::Renew { id, .. }
         | Command::Release { id, .. } => *id == from,
-        Command::Settled { .. } | Command::Expire { .. } => false,
+        Command::Begun { .. } | Command::Settled { .. } | Command::Expire { .. } => false,
     }
 }
 
--- a/src/federation/state.rs
+++ b/src/federation/state.rs
@@ -43,6 +43,12 @@
         /// Its store's number.
         incarnation: u64,
     },
+    /// From now on the members go by the file of this revision: a leader with an older one, which may have missed it, takes
+    /// back nothing.
+    Begun {
+        /// The file's revision.
+        revision: u64,
+    },
     /// The members are as the file of this revision says.
     Settled {
         /// The file's revision.
@@ -110,6 +116,8 @@
     pub identity: u64,
     /// The newest file whose members hold.
     pub revision: u64,
+    /// The newest file that the members go by or went by.
+    pub begun: u64,
     /// The members.
     pub members: BTreeMap<MemberId, Member>,
     /// Who holds which duty.
@@ -137,6 +145,7 @@
                     member.incarnation.get_or_insert(*incarnation);
                 }
             }
+            Command::Begun { revision } => self.begun = self.begun.max(*revision),
             Command::Settled { revision } => self.revision = self.revision.max(*revision),
             Command::Acquire { duty, id, ask } => {
                 let room = self.duties.len() < MOST_DUTIES && duty.len() <= MOST_NAME;
