Fold what a last reading of the federation found twice, repeated or too involved

Need: who a member is was told to its links in two places, the file's members and the whole state were copied at every tick, two ways of sending each counted what they dropped, a removed member's guards were spread over a loop, and the simulator worked out a member's clock twice. Change: Runtime::introduce, wanted kept with the file, no copy of the state, one count in Links::send, one way out of Node::drive, Member::clock; a wrong doc comment. Behaviour is the same.

--- a/src/federation/links.rs
+++ b/src/federation/links.rs
@@ -154,8 +154,15 @@
 
     /// Sends, if the peer is there and has room; else it is dialled.
     pub fn send(&mut self, now: i64, to: MemberId, frame: &Frame) -> bool {
-        let Some(peer) = self.peers.get_mut(&to) else { return self.answer(now, to, frame) };
-        let went = match &mut peer.out {
+        let went =
+            if self.peers.contains_key(&to) { self.say(now, to, frame) } else { self.answer(now, to, frame) };
+        self.dropped += u64::from(!went);
+        went
+    }
+
+    fn say(&mut self, now: i64, to: MemberId, frame: &Frame) -> bool {
+        let Some(peer) = self.peers.get_mut(&to) else { return false };
+        match &mut peer.out {
             Out::Up { conn, out, .. } if self.net.unwritten(*conn) < QUEUE => {
                 let conn = *conn;
                 match wire::pack(frame, Some(out)) {
@@ -177,9 +184,7 @@
                 false
             }
             _ => false,
-        };
-        self.dropped += u64::from(!went);
-        went
+        }
     }
 
     /// Sends to a member that this one's file does not have (any more), on the connection that it came by.
@@ -188,7 +193,7 @@
             In::Up { from, back, .. } if *from == to => Some((*conn, back)),
             _ => None,
         });
-        let went = match came {
+        match came {
             Some((conn, back)) if self.net.unwritten(conn) < QUEUE => {
                 let bytes = wire::pack(frame, Some(back));
                 match bytes.map(|bytes| self.net.write(conn, [bytes])) {
@@ -201,9 +206,7 @@
                 }
             }
             _ => false,
-        };
-        self.dropped += u64::from(!went);
-        went
+        }
     }
 
     fn dial(&mut self, now: i64, to: MemberId) {
--- a/src/federation/node.rs
+++ b/src/federation/node.rs
@@ -4,7 +4,7 @@
 
 use super::log::{Log, Save, Saved};
 use super::membership::{self, Progress, Step};
-use super::records::{EntryRecord, Hard, Kind, MessageRecord, SnapshotRecord};
+use super::records::{EntryRecord, Hard, Kind, MessageKind, MessageRecord, SnapshotRecord};
 use super::state::{Change, Command, State};
 use super::MemberId;
 use raft::eraftpb::{ConfChange, ConfChangeType, ConfState, Entry};
@@ -202,8 +202,7 @@
             return Ok(());
         }
         let log = &self.raw.raft.raft_log;
-        if matches!(message.kind, super::records::MessageKind::Heartbeat) && message.commit > log.last_index()
-        {
+        if message.kind == MessageKind::Heartbeat && message.commit > log.last_index() {
             return Err("it commits what was not sent");
         }
         // What it passes over itself (an old term, a member that was removed) is no error here.
@@ -276,7 +275,10 @@
     pub fn drive(&mut self, keep: &mut impl Keep) -> Result<Vec<MessageRecord>, NodeError> {
         let mut out = Vec::new();
         let store = |error: &dyn std::fmt::Display| NodeError::Store(error.to_string());
-        while !self.removed && self.raw.has_ready() {
+        if self.removed {
+            return Ok(out);
+        }
+        while self.raw.has_ready() {
             let mut ready = self.raw.ready();
             out.extend(ready.take_messages().iter().filter_map(MessageRecord::of));
             let snapshot = Some(ready.snapshot()).filter(|s| !s.is_empty()).map(SnapshotRecord::from);
@@ -298,7 +300,7 @@
             }
             self.apply(ready.take_committed_entries());
             if self.removed {
-                break;
+                return Ok(out);
             }
             out.extend(ready.take_persisted_messages().iter().filter_map(MessageRecord::of));
             let mut light = self.raw.advance(ready);
@@ -308,15 +310,12 @@
             out.extend(light.take_messages().iter().filter_map(MessageRecord::of));
             self.apply(light.take_committed_entries());
             if self.removed {
-                break;
+                return Ok(out);
             }
             self.raw.advance_apply();
         }
         self.settle();
         let base = self.raw.store().base().index;
-        if self.removed {
-            return Ok(out);
-        }
         let wanted = self.raw.store().wants_snapshot() && self.applied > base;
         if wanted || self.applied - base >= self.tuning.compact_after {
             let save = Save { snapshot: Some(self.snapshot()?), ..Save::default() };
--- a/src/federation/runtime.rs
+++ b/src/federation/runtime.rs
@@ -6,7 +6,7 @@
 use super::hello::Hello;
 use super::links::{Links, Me, LISTENER};
 use super::log::Save;
-use super::node::{Happened, Keep, Node, NodeError};
+use super::node::{Happened, Keep, Node};
 use super::records::MessageKind;
 use super::settings::FederationSettings;
 use super::state::Command;
@@ -96,11 +96,11 @@
         self.say(Word::Resume);
     }
 
-    /// Goes on by a new file.
+    /// Whether a new file can be taken over in service.
     ///
     /// # Errors
     ///
-    /// What of it could not be taken over; then nothing is.
+    /// What of it can't.
     pub fn check(&self, settings: &FederationSettings) -> Result<(), &'static str> {
         self.settings.fixed(settings).map_or(Ok(()), Err)
     }
@@ -152,6 +152,8 @@
 
 struct Runtime {
     settings: FederationSettings,
+    /// The file's members, as the log's decisions want them.
+    wanted: BTreeMap<MemberId, (String, bool)>,
     links: Links,
     phase: Phase,
     begun: Instant,
@@ -173,6 +175,7 @@
         let me = Me { cluster, id, identity: 0, incarnation: 0, key };
         let links = Links::new(net, me, silent, ChaCha8Rng::from_rng(&mut random));
         Runtime {
+            wanted: settings.wanted(),
             settings,
             links,
             phase: Phase::Halted { until: 0 },
@@ -268,13 +271,8 @@
                 }
                 Ok(Word::Reload(settings)) => {
                     self.settings = *settings;
-                    let (silent, key) = (self.settings.silent, self.settings.key.clone());
-                    if let Phase::Runs { node, store, .. } = &self.phase {
-                        let (identity, incarnation) = (node.state().0.identity, store.owner().incarnation);
-                        let FederationSettings { cluster, id, .. } = self.settings.clone();
-                        self.links.set_me(Me { cluster, id, identity, incarnation, key }, silent);
-                    }
-                    self.links.set_peers(now, &peers(&self.settings));
+                    self.wanted = self.settings.wanted();
+                    self.introduce(now);
                     info!(revision = self.settings.revision, "federation: a new file");
                 }
                 Err(TryRecvError::Empty) => return true,
@@ -283,6 +281,16 @@
         }
     }
 
+    /// Tells the connections who this member is and whom it knows; one that takes no part tells them once it does.
+    fn introduce(&mut self, now: i64) {
+        let Phase::Runs { node, store, .. } = &self.phase else { return };
+        let (identity, incarnation) = (node.state().0.identity, store.owner().incarnation);
+        let FederationSettings { cluster, id, key, silent, .. } = &self.settings;
+        let me = Me { cluster: cluster.clone(), id: *id, identity, incarnation, key: key.clone() };
+        self.links.set_me(me, *silent);
+        self.links.set_peers(now, &peers(&self.settings));
+    }
+
     fn leave(&mut self, now: i64, ends: bool) {
         let ends = ends || matches!(self.leaving, Some((_, true)));
         if let Phase::Runs { node, holder, .. } = &mut self.phase {
@@ -314,9 +322,9 @@
     }
 
     fn open(&mut self, now: i64) {
-        let FederationSettings { cluster, id, listen, store: path, tuning, key, silent, .. } =
-            self.settings.clone();
-        let opened = Store::open(&path, &cluster, id).map_err(|error| format!("{}: {error}", path.display()));
+        let FederationSettings { cluster, id, listen, store: path, tuning, terms, .. } = &self.settings;
+        let (id, listen, tuning, terms) = (*id, *listen, *tuning, *terms);
+        let opened = Store::open(path, cluster, id).map_err(|error| format!("{}: {error}", path.display()));
         let made = opened.and_then(|(store, saved)| {
             let node =
                 Node::new(id, saved, tuning, self.random.random()).map_err(|error| error.to_string())?;
@@ -325,15 +333,12 @@
         });
         match made {
             Ok((node, store, address)) => {
-                let (identity, incarnation) = (node.state().0.identity, store.owner().incarnation);
-                self.links.set_me(Me { cluster, id, identity, incarnation, key }, silent);
-                self.links.set_peers(now, &peers(&self.settings));
                 self.backoff.reset();
                 self.view.halted = None;
                 self.view.listen = Some(address.to_string());
-                let terms = self.settings.terms;
                 let (holder, grantor) = (Holder::new(id, terms, self.random.random()), Grantor::new(terms));
                 self.phase = Phase::Runs { node: Box::new(node), store: Box::new(store), holder, grantor };
+                self.introduce(now);
                 self.next_tick = now;
                 info!(id, "federation listens on {address}");
             }
@@ -392,13 +397,13 @@
             node.tick();
             self.links.tick(now);
             if self.leaving.is_none() {
-                node.reconcile(self.settings.revision, &self.settings.wanted());
-                let state = node.state().0.clone();
+                node.reconcile(self.settings.revision, &self.wanted);
+                let (state, leads) = (node.state().0, node.is_leader());
                 let votes = state.members.get(&self.settings.id).is_some_and(|own| own.voter);
                 let stands = votes.then(|| PUBLISH_DUTY.to_owned()).into_iter().collect();
                 let mut asks = holder.stand(&stands);
-                asks.extend(holder.due(now, &state));
-                asks.extend(grantor.due(now, &state, node.is_leader()));
+                asks.extend(holder.due(now, state));
+                asks.extend(grantor.due(now, state, leads));
                 asks.into_iter().for_each(|command| propose(node, &mut self.links, now, command));
             }
             if self.enrol_at <= now {
@@ -420,9 +425,7 @@
         let mut timed = Timed { store, slowest: &mut self.view.slowest_save_us };
         let out = match node.drive(&mut timed) {
             Ok(out) => out,
-            Err(error @ (NodeError::Store(_) | NodeError::Log(_) | NodeError::Consensus(_))) => {
-                return self.halt(&error.to_string());
-            }
+            Err(error) => return self.halt(&error.to_string()),
         };
         for message in out {
             let (to, snapshot) = (message.to, message.kind == MessageKind::Snapshot);
--- a/src/sim/federation.rs
+++ b/src/sim/federation.rs
@@ -109,6 +109,13 @@
     file: u64,
 }
 
+impl Member {
+    /// Its own clock at a time of the world's.
+    fn clock(&self, now: i64) -> i64 {
+        self.began + (now as f64 * (1.0 + self.drift)) as i64
+    }
+}
+
 enum Event {
     Tick(MemberId, u64),
     Message(Box<MessageRecord>, u64),
@@ -217,8 +224,8 @@
     fn duties(&mut self, id: MemberId) {
         let now = self.now;
         let Some(member) = self.members.get_mut(&id) else { return };
+        let local = member.clock(now);
         let Some(node) = &mut member.node else { return };
-        let local = member.began + (now as f64 * (1.0 + member.drift)) as i64;
         let (state, leads) = (node.state().0.clone(), node.is_leader());
         let mut commands = member.holder.stand(&member.wants);
         commands.extend(member.holder.due(local, &state));
@@ -257,7 +264,7 @@
             let at = member.stalled;
             return self.plan(at, Event::Act(id, duty, token));
         }
-        let local = member.began + (now as f64 * (1.0 + member.drift)) as i64;
+        let local = member.clock(now);
         if self.planted != Some(Planted::NoLook) && member.holder.token(local, duty) != Some(token) {
             return;
         }
