--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -188,6 +188,8 @@
     sent: u8,
     /// Attempts that it may have, by the settings that held when it came.
     most: u32,
+    /// When the first of its ended attempts that may have run was written.
+    may_have_run: Option<Micros>,
     patience: Option<Handle>,
     expiry: Option<Handle>,
 }
@@ -201,8 +203,8 @@
     sent: Micros,
     until: Micros,
     due: Option<Handle>,
-    /// Its bytes may have left.
-    launched: bool,
+    /// When its bytes may have left.
+    launched: Option<Micros>,
 }
 
 /// The requests and attempts of one edge proxy, around its decision module.
@@ -300,6 +302,7 @@
             state: State::Open,
             sent: 0,
             most: self.settings.limits.max_attempts,
+            may_have_run: None,
             patience: None,
             expiry: None,
         };
@@ -387,7 +390,8 @@
         // What was queued while a drain, a removal or a purge came in must not go out as it was decided.
         let ready = |server: ServerId| self.states.get(&server) == Some(&ServerState::Ready);
         let source = attempt.get.as_ref().map(|get| get.source).filter(|source| *source != attempt.server);
-        if !ready(attempt.server) || !source.is_none_or(ready) || attempt.until <= now {
+        let may_go = ready(attempt.server) && source.is_none_or(ready) && self.may_repeat(now, attempt);
+        if !may_go || attempt.until <= now {
             self.end_attempt(now, key, End::bare(AttemptResult::Moot), due);
             self.run(now, due);
             return None;
@@ -395,7 +399,7 @@
         let purged = attempt.purge.iter().filter_map(|what| self.purged.get(what)).max();
         let bound = purged.map_or(0, |at| (now - at).max(1));
         let attempt = self.attempts.get_mut(key)?;
-        attempt.launched = true;
+        attempt.launched = Some(now);
         let limit = attempt.until - now;
         let request = Key::from_number(attempt.request.0);
         let part = self.requests.get(request)?.ask.part;
@@ -415,6 +419,21 @@
         })
     }
 
+    /// Whether an attempt may be written by its class's effect, beside what was written for its request before: it may
+    /// have waited for a connection since it was decided on, and repeats of a keyed request have a window.
+    fn may_repeat(&self, now: Micros, attempt: &Attempt) -> bool {
+        let Some(request) = self.requests.get(Key::from_number(attempt.request.0)) else { return false };
+        let out = self.attempts.iter().filter(|(_, other)| other.request == attempt.request);
+        let first = out.filter_map(|(_, other)| other.launched).chain(request.may_have_run).min();
+        let class = self.settings.classes.get(usize::from(request.ask.class.0));
+        let (Some(first), Some(class)) = (first, class) else { return true };
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed => now < first + class.window,
+        }
+    }
+
     /// An attempt has ended; what comes late for one that was given up is ignored.
     pub fn ended(&mut self, now: Micros, key: AttemptKey, end: End, due: &mut dyn Schedule<Due>) {
         if self.attempts.get(key).is_some() {
@@ -469,11 +488,7 @@
         match what {
             Due::Timer(token) => self.events.push_back(Event::Timer(token)),
             Due::Attempt(key) => {
-                // Unsent by then, it proves that nothing ran: no connection came up in time.
-                let launched = self.attempts.get(key).is_some_and(|attempt| attempt.launched);
-                let result = if launched { AttemptResult::Timeout } else { AttemptResult::ConnectFailed };
-                self.commands.push_back(Command::Drop(key));
-                self.end_attempt(now, key, End::bare(result), due);
+                self.time_out(now, key, due);
             }
             Due::Patience(key) => self.on_patience(now, key, due),
             Due::Expiry(key) => {
@@ -511,10 +526,7 @@
             return;
         }
         for attempt in self.attempts_of(key) {
-            let launched = self.attempts.get(attempt).is_some_and(|a| a.launched);
-            let result = if launched { AttemptResult::Timeout } else { AttemptResult::ConnectFailed };
-            self.commands.push_back(Command::Drop(attempt));
-            self.end_attempt(now, attempt, End::bare(result), due);
+            self.time_out(now, attempt, due);
         }
         self.run(now, due);
         if open(self) {
@@ -523,6 +535,23 @@
         }
     }
 
+    /// Ends an attempt whose time is over. Unsent by then, it never ran: no connection came up in time.
+    fn time_out(&mut self, now: Micros, key: AttemptKey, due: &mut dyn Schedule<Due>) {
+        let launched = self.is_launched(key);
+        let result = if launched { AttemptResult::Timeout } else { AttemptResult::ConnectFailed };
+        self.call_off(now, key, result, due);
+    }
+
+    /// Ends an attempt that is given up from here, as `result`.
+    fn call_off(&mut self, now: Micros, key: AttemptKey, result: AttemptResult, due: &mut dyn Schedule<Due>) {
+        self.commands.push_back(Command::Drop(key));
+        self.end_attempt(now, key, End::bare(result), due);
+    }
+
+    fn is_launched(&self, key: AttemptKey) -> bool {
+        self.attempts.get(key).is_some_and(|attempt| attempt.launched.is_some())
+    }
+
     fn attempts_of(&self, key: RequestKey) -> Vec<AttemptKey> {
         let id = RequestId(key.number());
         self.attempts.iter().filter(|(_, a)| a.request == id).map(|(key, _)| key).collect()
@@ -533,8 +562,7 @@
         self.events.push_back(Event::Gone(RequestId(key.number())));
         self.run(now, due);
         for attempt in self.attempts_of(key) {
-            self.commands.push_back(Command::Drop(attempt));
-            self.end_attempt(now, attempt, End::bare(AttemptResult::Cancelled), due);
+            self.call_off(now, attempt, AttemptResult::Cancelled, due);
         }
         self.run(now, due);
     }
@@ -569,6 +597,9 @@
         let Some(attempt) = self.attempts.remove(key) else { return };
         attempt.due.into_iter().for_each(|handle| due.remove(handle));
         let request = Key::from_number(attempt.request.0);
+        if let Some(request) = self.requests.get_mut(request).filter(|_| !end.result.never_ran()) {
+            request.may_have_run = request.may_have_run.into_iter().chain(attempt.launched).min();
+        }
         if end.result == AttemptResult::Ok {
             self.answer(request, Final::Served(end.copy));
         }
@@ -620,8 +651,10 @@
             Action::Cancel { request, attempt } => {
                 let found = self.attempts.iter().find(|(_, a)| a.request == request && a.number == attempt);
                 if let Some(key) = found.map(|(key, _)| key) {
-                    self.commands.push_back(Command::Drop(key));
-                    self.end_attempt(now, key, End::bare(AttemptResult::Cancelled), due);
+                    // One that still waits for a connection has not run, and its request may go elsewhere.
+                    let launched = self.is_launched(key);
+                    let result = if launched { AttemptResult::Cancelled } else { AttemptResult::Moot };
+                    self.call_off(now, key, result, due);
                 }
             }
             Action::Timer { token, after } => {
@@ -660,7 +693,7 @@
         let purge = [Purge::Object(request.ask.object), Purge::Group(request.ask.group)];
         let moot = !open || u32::from(number) >= most || until <= now;
         let attempt =
-            Attempt { request: id, number, server, get, purge, sent: now, until, due: None, launched: false };
+            Attempt { request: id, number, server, get, purge, sent: now, until, due: None, launched: None };
         let key = self.attempts.insert(attempt);
         let handle = due.add(until, Due::Attempt(key));
         if let Some(attempt) = self.attempts.get_mut(key) {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -46,7 +46,7 @@
             link_kb_per_s: vec![0.0; 2],
             pace_kb_per_s: 1000.0,
             weighed: true,
-            classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
+            classes: vec![class(Effect::Safe), class(Effect::Unsafe), class(Effect::Keyed)],
             parent_kind: Some(1),
             origin_kind: 2,
             direct: false,
@@ -312,3 +312,52 @@
     }
     assert_eq!(bench.core.unanswered(), 0);
 }
+
+/// A repeat that was decided on in time may wait for a connection past the window that its class allows.
+#[test]
+fn a_keyed_repeat_is_written_within_its_window_only() {
+    for (dialled, written) in [(SECOND - 1, true), (SECOND, false)] {
+        let mut bench = Bench::new();
+        let (request, first) = bench.launched(2, None);
+        bench.end(100 * MS, first, AttemptResult::Reset);
+        let (words, repeats) = bench.commands();
+        assert_eq!(words, ["send"], "it is repeated");
+        let order = bench.core.launch(dialled, repeats[0], &mut bench.due);
+        assert_eq!(order.is_some(), written, "its connection comes up after {dialled} us");
+        if !written {
+            assert_eq!(bench.commands().0, ["answer"]);
+            assert!(
+                matches!(bench.take(dialled, request), Some(Final::Refused { .. })),
+                "all share what they know"
+            );
+        }
+    }
+}
+
+/// The window counts from the send of what may have run: a refusal proves that nothing did.
+#[test]
+fn what_never_ran_opens_no_window() {
+    let mut bench = Bench::new();
+    let (_, first) = bench.launched(2, None);
+    bench.end(100 * MS, first, AttemptResult::Full);
+    let (_, repeats) = bench.commands();
+    assert!(bench.core.launch(2 * SECOND, repeats[0], &mut bench.due).is_some());
+}
+
+/// A write whose connection does not come up is tried elsewhere once it is called off: it never ran.
+#[test]
+fn a_write_called_off_before_it_left_may_go_elsewhere() {
+    for leaves in [false, true] {
+        let mut bench = Bench::new();
+        let request = bench.ask(0, 1, None);
+        let (_, attempts) = bench.commands();
+        if leaves {
+            bench.core.launch(0, attempts[0], &mut bench.due);
+        }
+        let cancel = Action::Cancel { request: RequestId(request.number()), attempt: 0 };
+        bench.core.carry_out(200 * MS, cancel, &mut bench.due);
+        bench.core.run(200 * MS, &mut bench.due);
+        let (words, _) = bench.commands();
+        assert_eq!(words, ["drop", if leaves { "answer" } else { "send" }], "leaves {leaves}");
+    }
+}
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -396,6 +396,13 @@
         }
     }
 
+    /// A client has closed its connection: it has gone, whatever of it is still unread.
+    pub fn closed(&mut self, now: i64, conn: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let lingers = self.sessions.get(&conn).is_some_and(|session| session.lingers);
+        let reason = if lingers { Reason::Done } else { Reason::PeerClosed };
+        self.close(now, conn, reason, net, due);
+    }
+
     /// Closes a connection; what was open there is over for its client.
     pub fn close(
         &mut self,
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -35,6 +35,9 @@
 pub const PAUSE: i64 = 300_000;
 /// How long a client may take to close after it was told the end, us.
 const LINGER: i64 = 1_000_000;
+/// A connection that never asked and has been quiet for this long is idle, too, where all are to end, us: a first
+/// request follows its connection sooner.
+const NEVER_ASKED: i64 = 200_000;
 
 /// What falls due for a connection: a look whether it stands still.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,13 +99,18 @@
     /// All is said, and the client is to close: closing first, with its bytes unread, would reset the connection
     /// and could take the last answers away from it.
     lingers: Option<i64>,
+    /// The write side is shut down: no answer waits to be written any more.
+    shut_down: bool,
+    /// What came can't be read on from here: the connection ends for this once what is open there is answered.
+    unreadable: Option<Reason>,
 }
 
 impl Session {
     /// Whether all that it asked is answered and no further message has begun.
-    fn is_idle(&self, conn: ConnKey, net: &mut Net) -> bool {
+    fn is_idle(&self, now: i64, conn: ConnKey, net: &mut Net) -> bool {
         let unread = |net: &mut Net| net.input(conn, |input| !input.is_empty()).unwrap_or(false);
-        let quiet = self.asked && self.lingers.is_none() && !self.more && self.open.is_empty();
+        let asked = self.asked || self.heard + NEVER_ASKED <= now;
+        let quiet = asked && self.lingers.is_none() && !self.more && self.open.is_empty();
         quiet && net.unwritten(conn) == 0 && !unread(net)
     }
 
@@ -140,6 +148,8 @@
             paused: None,
             rested: now,
             lingers: None,
+            shut_down: false,
+            unreadable: None,
         };
         self.sessions.insert(conn, session);
     }
@@ -216,11 +226,11 @@
         }
     }
 
-    /// A connection that has fallen idle, where they are to end then. One whose client has not asked yet is none: it
-    /// is about to.
-    pub fn fading(&self, net: &mut Net) -> Option<ConnKey> {
+    /// A connection that has fallen idle, where they are to end then. One whose client has just connected is none: it
+    /// is about to ask.
+    pub fn fading(&self, now: i64, net: &mut Net) -> Option<ConnKey> {
         let mut all = self.sessions.iter().filter(|_| self.retired);
-        all.find(|(conn, session)| session.is_idle(**conn, net)).map(|(conn, _)| *conn)
+        all.find(|(conn, session)| session.is_idle(now, **conn, net)).map(|(conn, _)| *conn)
     }
 
     /// Ends a connection that is still idle.
@@ -232,7 +242,7 @@
         net: &mut Net,
         due: &mut dyn Schedule<Due>,
     ) {
-        if self.sessions.get(&conn).is_some_and(|session| session.is_idle(conn, net)) {
+        if self.sessions.get(&conn).is_some_and(|session| session.is_idle(now, conn, net)) {
             self.end(now, conn, reason, net, due);
         }
     }
@@ -274,7 +284,12 @@
             return Vec::new();
         }
         session.heard = now;
-        self.say(now, conn, seqid, reply, net, due)
+        let last = session.unreadable.filter(|_| session.open.is_empty());
+        let mut asks = self.say(now, conn, seqid, reply, net, due);
+        if let Some(reason) = last {
+            asks.extend(self.end(now, conn, reason, net, due));
+        }
+        asks
     }
 
     /// Writes an answer to what was never open: a ping, or a request too many.
@@ -293,33 +308,70 @@
         }
     }
 
-    /// A connection may be read from, or written to.
-    pub fn ready(&mut self, now: i64, conn: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) -> Vec<Ask> {
+    /// A connection may be read from, or written to, or its client is known to have closed it. A client that closed has
+    /// gone: what it asked for is over, also what is still unread.
+    pub fn ready(
+        &mut self,
+        now: i64,
+        conn: ConnKey,
+        closed: bool,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) -> Vec<Ask> {
         let mut asks = Vec::new();
         if self.sessions.get(&conn).is_some_and(|session| session.lingers.is_some()) {
-            // What still comes is not looked at; its end is all that is waited for.
-            if net.flush(conn).and_then(|()| net.ended(conn)) != Ok(false) {
-                self.close(now, conn, Reason::Done, net, due);
-            }
+            self.linger(now, conn, net, due);
             return asks;
         }
+        if closed {
+            return self.close(now, conn, Reason::PeerClosed, net, due);
+        }
+        if self.sessions.get(&conn).is_some_and(|session| session.unreadable.is_some()) {
+            return match net.flush(conn).and_then(|()| net.ended(conn)) {
+                Ok(false) => asks,
+                Ok(true) => self.close(now, conn, Reason::PeerClosed, net, due),
+                Err(reason) => self.close(now, conn, reason, net, due),
+            };
+        }
         match net.flush(conn).and_then(|()| self.read(now, conn, net, &mut asks)) {
             Ok(()) => {}
             Err(reason @ (Reason::PeerClosed | Reason::PeerReset)) => {
                 asks.extend(self.close(now, conn, reason, net, due));
             }
-            Err(reason) => asks.extend(self.end(now, conn, reason, net, due)),
+            Err(reason) => asks.extend(self.end_unreadable(now, conn, reason, net, due)),
         }
         asks
     }
 
+    /// Ends a connection on which something came that can't be read on from: at once, or after the answers to what was
+    /// asked there before. Where two requests share a number no answer can be told from the other's.
+    fn end_unreadable(
+        &mut self,
+        now: i64,
+        conn: ConnKey,
+        reason: Reason,
+        net: &mut Net,
+        due: &mut dyn Schedule<Due>,
+    ) -> Vec<Ask> {
+        let Some(session) = self.sessions.get_mut(&conn) else { return Vec::new() };
+        if session.open.is_empty() || reason == Reason::DuplicateSeqid {
+            return self.end(now, conn, reason, net, due);
+        }
+        session.unreadable = Some(reason);
+        net.input(conn, |input| input.clear());
+        Vec::new()
+    }
+
     fn read(&mut self, now: i64, conn: ConnKey, net: &mut Net, asks: &mut Vec<Ask>) -> Result<(), Reason> {
         let mut taken = 0;
         if self.sessions.get(&conn).is_some_and(|session| session.paused.is_some()) {
-            return Ok(());
+            return self.read_aborts(conn, net, asks);
         }
-        // Its next read comes with the write event that says that some bytes were taken.
-        while net.unwritten(conn) < MOST_UNWRITTEN {
+        loop {
+            // Its next read comes with the write event that says that some bytes were taken.
+            if net.unwritten(conn) >= MOST_UNWRITTEN {
+                return self.read_aborts(conn, net, asks);
+            }
             let got = net.read(conn, MOST_FRAME + PREFIX)?;
             let mut rest = true;
             while taken < TURN {
@@ -345,9 +397,23 @@
                 return Err(Reason::PeerClosed);
             }
             if !got.more {
-                break;
+                return Ok(());
             }
         }
+    }
+
+    /// Looks through what has come on a connection from which no request is taken now: one that is open may have been
+    /// cancelled there, and is over at once. The bytes stay for when they have their turn.
+    fn read_aborts(&mut self, conn: ConnKey, net: &mut Net, asks: &mut Vec<Ask>) -> Result<(), Reason> {
+        let got = net.read(conn, MOST_FRAME + PREFIX)?;
+        let cancelled = net.input(conn, |input| aborts(input)).unwrap_or_default();
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            let over = cancelled.into_iter().filter_map(|seqid| session.open.remove(&seqid)).flatten();
+            asks.extend(over.map(Ask::Gone));
+        }
+        if got.end {
+            return Err(Reason::PeerClosed);
+        }
         Ok(())
     }
 
@@ -451,12 +517,27 @@
         }
         info!("conn={conn} is told the end: {}", reason.code());
         session.lingers = Some(now);
-        let gone = gone(std::mem::take(&mut session.open));
+        let mut gone = gone(std::mem::take(&mut session.open));
         net.input(conn, |input| input.clear());
-        net.shutdown(conn);
+        gone.extend(self.linger(now, conn, net, due));
         gone
     }
 
+    /// Goes on with a connection that was told the end: once its answers are written the write side is shut down, and
+    /// what still comes is dropped unread until its client closes.
+    fn linger(&mut self, now: i64, conn: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) -> Vec<Ask> {
+        let ended = net.flush(conn).and_then(|()| net.ended(conn));
+        let Some(session) = self.sessions.get_mut(&conn) else { return Vec::new() };
+        if !session.shut_down && net.unwritten(conn) == 0 {
+            session.shut_down = true;
+            net.shutdown(conn);
+        }
+        match ended {
+            Ok(false) => Vec::new(),
+            Ok(true) | Err(_) => self.close(now, conn, Reason::Done, net, due),
+        }
+    }
+
     /// Closes a connection; what was open there is over for its client.
     pub fn close(
         &mut self,
@@ -494,6 +575,22 @@
     Ok(Some(input.split_to(length).freeze()))
 }
 
+/// The sequence numbers that the whole messages of what has come cancel.
+fn aborts(input: &[u8]) -> Vec<i32> {
+    let (mut cancelled, mut rest) = (Vec::new(), input);
+    while let Some(prefix) = rest.first_chunk::<PREFIX>() {
+        let length = usize::try_from(i32::from_be_bytes(*prefix)).unwrap_or(usize::MAX);
+        let Some(message) = length.checked_add(PREFIX).and_then(|end| rest.get(PREFIX..end)) else { break };
+        if let Ok(codec::Call { method: Method::Abort(seqid), .. }) =
+            codec::call(Bytes::copy_from_slice(message))
+        {
+            cancelled.push(seqid);
+        }
+        rest = &rest[PREFIX + length..];
+    }
+    cancelled
+}
+
 /// What is over with a connection.
 fn gone(open: BTreeMap<i32, Option<u64>>) -> Vec<Ask> {
     let mut gone: Vec<u64> = open.into_values().flatten().collect();
--- a/src/front/thrift/tests.rs
+++ b/src/front/thrift/tests.rs
@@ -40,7 +40,7 @@
         let had = |net: &mut Net, conn| net.input(conn, |input| input.len()).unwrap_or(0);
         let before = had(&mut self.net, self.conn);
         loop {
-            let asks = self.front.ready(now, self.conn, &mut self.net, &mut self.due);
+            let asks = self.front.ready(now, self.conn, false, &mut self.net, &mut self.due);
             if !asks.is_empty() || had(&mut self.net, self.conn) != before {
                 return asks;
             }
@@ -99,7 +99,7 @@
     assert_eq!(hand_on(&mut bench, 10, 0, false), (0, false, 0), "too much is open");
     assert_eq!(hand_on(&mut bench, 20, 1, false), (0, true, 0));
     bench.client.write_all(&invoke(2)).expect("written");
-    assert_eq!(bench.front.ready(30, bench.conn, &mut bench.net, &mut bench.due), []);
+    assert_eq!(bench.front.ready(30, bench.conn, false, &mut bench.net, &mut bench.due), []);
     assert_eq!(hand_on(&mut bench, 20 + PAUSE, 1, false), (0, false, 1), "what waits has its turn");
     assert_eq!(hand_on(&mut bench, 20 + 2 * PAUSE - 1, 1, false), (0, false, 1));
     assert_eq!(bench.front.turn(), Some(bench.conn));
@@ -113,3 +113,35 @@
     }
     assert_eq!(hand_on(&mut bench, 20 + 4 * PAUSE, 1, true), (1, true, 0), "nothing is open");
 }
+
+/// A cancelled request must not be tried again for as long as its cancellation waits unread.
+#[test]
+fn a_cancellation_is_seen_where_no_request_is_taken() {
+    let abort = |target: u8| {
+        let head =
+            [b"\x80\x01\0\x04\0\0\0\x05abort\0\0\0\x63\x08\0\x01\0\0\0", &[target][..], b"\0"].concat();
+        [&(head.len() as u32).to_be_bytes()[..], &head].concat()
+    };
+    let mut bench = Bench::new();
+    assert_eq!(bench.send(0, &invoke(1)).len(), 1);
+    bench.front.bind(bench.conn, 1, 77);
+    bench.front.to_hand_on(10, 1, false, &bench.net);
+    assert!(bench.front.sessions[&bench.conn].paused.is_some());
+    // A request behind it stays unread, and so does its own cancellation.
+    let bytes = [invoke(2), abort(1), abort(2)].concat();
+    assert_eq!(bench.send(20, &bytes), [Ask::Gone(77)]);
+    assert_eq!(bench.net.input(bench.conn, |input| input.len()), Some(bytes.len()));
+    assert!(!bench.front.is_open(bench.conn, 1));
+}
+
+/// What a client asked for just before it closed is asked for nobody.
+#[test]
+fn a_client_that_has_closed_is_gone_with_all_that_is_unread() {
+    let mut bench = Bench::new();
+    assert_eq!(bench.send(0, &invoke(1)).len(), 1);
+    bench.front.bind(bench.conn, 1, 77);
+    bench.client.write_all(&invoke(2)).expect("written");
+    let asks = bench.front.ready(1, bench.conn, true, &mut bench.net, &mut bench.due);
+    assert_eq!(asks, [Ask::Gone(77)]);
+    assert!(!bench.front.owns(bench.conn));
+}
--- /dev/null
+++ b/src/net/fabric/state.rs
@@ -0,0 +1,274 @@
+//! The network's state: connections, processes and the agenda of what happens, by time.
+
+use super::{Mail, Reach, Signal};
+use crate::spread::next;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::Hash;
+use std::net::SocketAddr;
+
+/// Data of a held connection is tried again this long after its host is back, us.
+const RESEND: i64 = 1_000;
+
+pub(super) enum Due {
+    /// A process's connection comes up, or is refused.
+    Up(u64),
+    /// A client's connection reaches the process.
+    Arrives(u64),
+    /// Bytes reach the process's end, or the actor's.
+    ToProcess(u64, Vec<u8>),
+    ToActor(u64, Vec<u8>, i64),
+    /// The end of what is written, in either direction.
+    EndToProcess(u64),
+    EndToActor(u64),
+    /// The connection breaks at either end.
+    BreakAtProcess(u64),
+    BreakAtActor(u64),
+    /// Messages wait for a process under this number.
+    Mail(u32, usize),
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Link {
+    pub process: u32,
+    pub token: Option<usize>,
+    /// The actor's address; for a client's connection the client's.
+    pub host: Option<SocketAddr>,
+    pub up: bool,
+    pub refused: bool,
+    pub broken: bool,
+    /// The process's end was given up.
+    pub dropped: bool,
+    pub input: VecDeque<u8>,
+    pub ended: bool,
+    pub shut: bool,
+    pub under_way: usize,
+    pub blocked: bool,
+    pub delay: i64,
+    /// Nothing overtakes what was sent before it: the last time of arrival in either direction.
+    pub last: [i64; 2],
+    /// A client's: the port that it is for, and which of the processes that listen there gets it.
+    pub wants: Option<(u16, u64)>,
+}
+
+/// A connection of a process on which something has happened.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReadyConn {
+    /// The number under which the process watches it.
+    pub token: usize,
+    /// It may be read from.
+    pub read: bool,
+    /// It may be written to.
+    pub write: bool,
+    /// The actor writes nothing more.
+    pub closed: bool,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Process {
+    pub alive: bool,
+    /// By number: a listener or another source that is ready.
+    pub sources: BTreeSet<usize>,
+    /// By token: connections on which something has happened.
+    pub conns: BTreeMap<usize, ReadyConn>,
+    /// By listener's address: its number, and connections that wait there.
+    pub ports: BTreeMap<SocketAddr, (usize, VecDeque<u64>)>,
+    pub mail: BTreeMap<u32, VecDeque<Mail>>,
+}
+
+#[derive(Default)]
+pub(super) struct State {
+    pub now: i64,
+    pub count: u64,
+    pub agenda: BTreeMap<(i64, u64), Due>,
+    pub links: BTreeMap<u64, Link>,
+    pub next_link: u64,
+    pub reach: BTreeMap<SocketAddr, Reach>,
+    pub processes: BTreeMap<u32, Process>,
+    /// Where the process that serves an address is found by the next one.
+    pub places: BTreeMap<SocketAddr, u32>,
+    pub signals: VecDeque<Signal>,
+    /// Draws the delays of connections: between these, us.
+    pub delays: (i64, i64),
+    pub random: u64,
+    pub trace: DefaultHasher,
+    pub steps: u64,
+}
+
+impl State {
+    pub(super) fn plan(&mut self, at: i64, due: Due) {
+        self.count += 1;
+        self.agenda.insert((at.max(self.now), self.count), due);
+    }
+
+    /// When something sent now on a connection arrives: 0 to the process, 1 to the actor.
+    pub(super) fn arrival(&mut self, link: u64, way: usize) -> i64 {
+        let now = self.now;
+        let Some(link) = self.links.get_mut(&link) else { return now };
+        link.last[way] = link.last[way].max(now + link.delay);
+        link.last[way]
+    }
+
+    pub(super) fn note(&mut self, what: impl Hash) {
+        (self.now, what).hash(&mut self.trace);
+        self.steps += 1;
+    }
+
+    /// Until when nothing reaches a connection's host.
+    pub(super) fn silent(&self, link: u64) -> Option<i64> {
+        let host = self.links.get(&link)?.host?;
+        match self.reach.get(&host) {
+            Some(Reach::SilentUntil(until)) if *until > self.now => Some(*until),
+            _ => None,
+        }
+    }
+
+    pub(super) fn wake(&mut self, link: u64, read: bool, write: bool) {
+        let Some(one) = self.links.get(&link).filter(|one| !one.dropped) else { return };
+        let (process, token, closed) = (one.process, one.token, one.ended || one.broken);
+        if let (Some(process), Some(token)) = (self.processes.get_mut(&process), token) {
+            let flags = process.conns.entry(token).or_insert(ReadyConn { token, ..ReadyConn::default() });
+            flags.read |= read;
+            flags.write |= write;
+            flags.closed |= closed;
+        }
+    }
+
+    pub(super) fn draw(&mut self) -> u64 {
+        // It has to repeat, not to be good.
+        next(&mut self.random)
+    }
+
+    pub(super) fn new_link(&mut self, process: u32, host: SocketAddr) -> u64 {
+        self.next_link += 1;
+        let (least, most) = self.delays;
+        // Whole milliseconds, so that what comes and what falls due meet more often than chance would have it.
+        let delay = (least + (self.draw() % (most - least + 1).max(1) as u64) as i64) / 1000 * 1000;
+        let link = Link { process, host: Some(host), delay, ..Link::default() };
+        self.links.insert(self.next_link, link);
+        self.next_link
+    }
+
+    pub(super) fn happen(&mut self, due: Due) {
+        let link = match &due {
+            Due::Up(link) | Due::Arrives(link) | Due::ToProcess(link, _) | Due::ToActor(link, ..) => {
+                Some(*link)
+            }
+            Due::EndToProcess(link) | Due::EndToActor(link) => Some(*link),
+            Due::BreakAtProcess(_) | Due::BreakAtActor(_) | Due::Mail(..) => None,
+        };
+        if let Some(until) = link.and_then(|link| self.silent(link)) {
+            return self.plan(until + RESEND, due);
+        }
+        match due {
+            Due::Up(id) => self.up(id),
+            Due::Arrives(id) => self.arrives(id),
+            Due::ToProcess(id, bytes) => {
+                self.note((1, id, &bytes));
+                if let Some(link) = self.links.get_mut(&id).filter(|link| !link.broken && !link.dropped) {
+                    link.input.extend(bytes);
+                    self.wake(id, true, false);
+                }
+            }
+            Due::ToActor(id, bytes, sent) => {
+                self.note((2, id, &bytes));
+                let Some(link) = self.links.get_mut(&id).filter(|link| !link.broken) else { return };
+                link.under_way = link.under_way.saturating_sub(bytes.len());
+                let wake = std::mem::take(&mut link.blocked);
+                self.signals.push_back(Signal::Bytes { link: id, bytes, sent });
+                if wake {
+                    self.wake(id, false, true);
+                }
+            }
+            Due::EndToProcess(id) => {
+                self.note((3, id));
+                if let Some(link) = self.links.get_mut(&id) {
+                    link.ended = true;
+                }
+                self.wake(id, true, false);
+            }
+            Due::EndToActor(id) => {
+                self.note((4, id));
+                self.signals.push_back(Signal::Closed { link: id });
+            }
+            Due::BreakAtProcess(id) => {
+                self.note((5, id));
+                if let Some(link) = self.links.get_mut(&id) {
+                    link.broken = true;
+                    link.input.clear();
+                }
+                self.wake(id, true, true);
+            }
+            Due::BreakAtActor(id) => {
+                self.note((6, id));
+                if let Some(link) = self.links.get_mut(&id) {
+                    link.broken = true;
+                }
+                self.signals.push_back(Signal::Broken { link: id });
+            }
+            Due::Mail(process, number) => {
+                self.note((7, process, number));
+                if let Some(process) = self.processes.get_mut(&process) {
+                    process.sources.insert(number);
+                }
+            }
+        }
+    }
+
+    pub(super) fn up(&mut self, id: u64) {
+        let Some(link) = self.links.get(&id).filter(|link| !link.dropped) else { return };
+        let Some(host) = link.host else { return };
+        let refused = self.reach.get(&host).is_none_or(|reach| *reach == Reach::Refusing);
+        self.note((8, id, refused));
+        if let Some(link) = self.links.get_mut(&id) {
+            (link.up, link.refused) = (!refused, refused);
+        }
+        if !refused {
+            self.signals.push_back(Signal::Opened { link: id, host });
+        }
+        self.wake(id, refused, true);
+    }
+
+    /// A client's connection reaches one of the processes that listen, or is refused.
+    pub(super) fn arrives(&mut self, id: u64) {
+        let Some((port, draw)) = self.links.get(&id).and_then(|link| link.wants) else { return };
+        let listening = |(number, process): (&u32, &Process)| {
+            let port = process.ports.keys().find(|addr| addr.port() == port)?;
+            process.alive.then_some((*number, *port))
+        };
+        let open: Vec<(u32, SocketAddr)> = self.processes.iter().filter_map(listening).collect();
+        self.note((9, id, open.len()));
+        let Some((process, addr)) = open.get((draw % open.len().max(1) as u64) as usize).copied() else {
+            if let Some(link) = self.links.get_mut(&id) {
+                link.broken = true;
+            }
+            return self.signals.push_back(Signal::Broken { link: id });
+        };
+        if let Some(link) = self.links.get_mut(&id) {
+            (link.process, link.up) = (process, true);
+        }
+        if let Some(process) = self.processes.get_mut(&process) {
+            if let Some((number, waiting)) = process.ports.get_mut(&addr) {
+                waiting.push_back(id);
+                process.sources.insert(*number);
+            }
+        }
+    }
+
+    /// The process's end is given up: the peer sees an end, or a break where bytes were left unread.
+    pub(super) fn give_up(&mut self, id: u64) {
+        let Some(link) = self.links.get_mut(&id).filter(|link| !link.dropped) else { return };
+        link.dropped = true;
+        let (unread, known) = (!link.input.is_empty(), link.up && !link.broken && !link.shut);
+        if !link.up && !link.refused {
+            return; // it never came up: nobody there knows of it
+        }
+        if unread && known {
+            let at = self.arrival(id, 1);
+            self.plan(at, Due::BreakAtActor(id));
+        } else if known {
+            let at = self.arrival(id, 1);
+            self.plan(at, Due::EndToActor(id));
+        }
+    }
+}
--- /dev/null
+++ b/src/net/fabric/tests.rs
@@ -0,0 +1,115 @@
+//! Connections, refusals and ends as a socket would show them.
+
+use super::endpoint::WINDOW;
+use super::*;
+use std::io::IoSlice;
+
+/// A network with one process, whose connections take 1 ms each way.
+fn fabric() -> Fabric {
+    let fabric = Fabric::new(0, 1, (1000, 1000));
+    fabric.start_process(1);
+    fabric
+}
+
+fn pass(fabric: &Fabric, to: i64) -> Vec<Signal> {
+    fabric.advance(to);
+    fabric.happen();
+    fabric.signals()
+}
+
+/// What is ready of connections: the number, and whether to read and to write.
+fn conns(fabric: &Fabric) -> Vec<(usize, bool, bool)> {
+    fabric.ready(1).1.into_iter().map(|conn| (conn.token, conn.read, conn.write)).collect()
+}
+
+fn read(end: &End) -> Result<String, ErrorKind> {
+    let mut bytes = [0; 64];
+    let read = end.read(&mut bytes).map_err(|error| error.kind())?;
+    Ok(String::from_utf8_lossy(&bytes[..read]).into_owned())
+}
+
+#[test]
+fn bytes_come_in_order_and_a_silent_host_holds_them_back() {
+    let (fabric, there) = (fabric(), host(1));
+    fabric.set_reach(there, Reach::Up);
+    let end = fabric.connect(1, there);
+    end.register(7);
+    assert_eq!(end.write(&[IoSlice::new(b"a")]).map_err(|e| e.kind()), Err(ErrorKind::NotConnected));
+    assert_eq!(pass(&fabric, 1999), []);
+    assert_eq!(pass(&fabric, 2000), [Signal::Opened { link: 1, host: there }]);
+    assert_eq!((conns(&fabric), end.connected()), (vec![(7, false, true)], Ok(true)));
+    end.write(&[IoSlice::new(b"a"), IoSlice::new(b"b")]).expect("written");
+    fabric.send(1, b"x");
+    fabric.send(1, b"y");
+    assert_eq!(pass(&fabric, 3000), [Signal::Bytes { link: 1, bytes: b"ab".to_vec(), sent: 2000 }]);
+    assert_eq!((conns(&fabric), read(&end)), (vec![(7, true, false)], Ok("xy".into())));
+    assert_eq!(read(&end), Err(ErrorKind::WouldBlock));
+    fabric.set_reach(there, Reach::SilentUntil(50_000));
+    fabric.send(1, b"z");
+    end.write(&[IoSlice::new(b"c")]).expect("written");
+    assert_eq!((pass(&fabric, 49_999), read(&end)), (vec![], Err(ErrorKind::WouldBlock)));
+    assert_eq!(pass(&fabric, 52_000), [Signal::Bytes { link: 1, bytes: b"c".to_vec(), sent: 3000 }]);
+    assert_eq!(read(&end), Ok("z".into()));
+    fabric.close(1);
+    pass(&fabric, 60_000);
+    assert_eq!(read(&end), Ok(String::new()));
+    drop(end);
+    assert_eq!(pass(&fabric, 70_000), [Signal::Closed { link: 1 }]);
+}
+
+#[test]
+fn refusals_resets_and_windows_are_seen_as_on_a_socket() {
+    let (fabric, there, nobody) = (fabric(), host(1), host(2));
+    fabric.set_reach(there, Reach::Up);
+    let (refused, end) = (fabric.connect(1, nobody), fabric.connect(1, there));
+    refused.register(7);
+    end.register(8);
+    pass(&fabric, 2000);
+    assert_eq!(
+        (refused.connected(), read(&refused)),
+        (Err(crate::net::Reason::ConnectRefused), Err(ErrorKind::ConnectionReset))
+    );
+    let much = vec![0; WINDOW + 5];
+    assert_eq!(end.write(&[IoSlice::new(&much)]).ok(), Some(WINDOW));
+    assert_eq!(end.write(&[IoSlice::new(b"a")]).map_err(|e| e.kind()), Err(ErrorKind::WouldBlock));
+    fabric.ready(1);
+    pass(&fabric, 3000);
+    assert_eq!(conns(&fabric), [(8, false, true)], "there is room again");
+    fabric.reset(2);
+    pass(&fabric, 4000);
+    assert_eq!(
+        (read(&end), end.connected()),
+        (Err(ErrorKind::ConnectionReset), Err(crate::net::Reason::PeerReset))
+    );
+}
+
+#[test]
+fn a_connection_that_is_passed_on_outlives_the_process_that_had_it() {
+    let fabric = fabric();
+    fabric.start_process(2);
+    let front = host(9);
+    let port = fabric.listen(1, front, 0).expect("a port");
+    let link = fabric.dial("127.0.2.1:40000".parse().expect("an address"), front);
+    fabric.send(link, b"ping");
+    pass(&fabric, 1000);
+    assert_eq!(fabric.ready(1).0, [0]);
+    let (end, _) = port.accept().expect("one waits");
+    assert!(fabric.mail(1, 2, 5, Mail::Connection(end.pass(2), b"pi".to_vec())).is_ok());
+    drop(end);
+    drop(port);
+    fabric.end_process(1);
+    assert_eq!(pass(&fabric, 2000), [], "the client notices nothing");
+    assert_eq!(fabric.ready(2).0, [5]);
+    let [Mail::Connection(end, unused)] = &fabric.take_mail(1, 2)[..] else { panic!("one message") };
+    assert_eq!((read(end), &unused[..]), (Ok("ping".into()), &b"pi"[..]));
+    // A process that dies with a connection under way to it breaks it.
+    let port = fabric.listen(2, front, 0).expect("a port");
+    let other = fabric.dial("127.0.2.2:40000".parse().expect("an address"), front);
+    pass(&fabric, 3000);
+    let (end, _) = port.accept().expect("one waits");
+    fabric.start_process(3);
+    assert!(fabric.mail(2, 3, 5, Mail::Connection(end.pass(3), Vec::new())).is_ok());
+    fabric.end_process(3);
+    assert_eq!(pass(&fabric, 5000), [Signal::Broken { link: other }]);
+    assert!(fabric.mail(2, 3, 5, Mail::Clients(1)).is_err());
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,6 +27,8 @@
 const CHUNK: usize = 64 * 1024;
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
+/// Chunks that a client may have left unread as its connection is closed here; a longer rest resets it.
+const DROPPED_CHUNKS: usize = 16;
 /// Slices handed to one vectored write.
 const SLICES: usize = 16;
 
@@ -60,9 +62,18 @@
         read: bool,
         /// It may take bytes, or has come up, or failed.
         write: bool,
+        /// The peer is known to write nothing more, whatever is still unread.
+        closed: bool,
     },
 }
 
+impl Ready {
+    /// A connection that may have more to read, though no event tells of it.
+    pub fn readable(key: ConnKey) -> Self {
+        Ready::Conn { key, read: true, write: false, closed: false }
+    }
+}
+
 /// What one call of [`Net::read`] left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Got {
@@ -262,8 +273,12 @@
                 // Whoever owns the network moves its clock; nothing is waited for here.
                 let (sources, conns) = fabric.ready(*process);
                 ready.extend(sources.into_iter().map(Ready::Source));
-                let conn =
-                    |(token, read, write)| Ready::Conn { key: Key::from_number(token as u64), read, write };
+                let conn = |fabric::ReadyConn { token, read, write, closed }| Ready::Conn {
+                    key: Key::from_number(token as u64),
+                    read,
+                    write,
+                    closed,
+                };
                 ready.extend(conns.into_iter().map(conn));
                 return Ok(());
             }
@@ -278,6 +293,7 @@
                 key: Key::from_number(event.token().0 as u64),
                 read: event.is_readable() || event.is_read_closed() || event.is_error(),
                 write: event.is_writable() || event.is_write_closed() || event.is_error(),
+                closed: event.is_read_closed() || event.is_error(),
             },
         }));
         Ok(())
@@ -582,8 +598,27 @@
         }
     }
 
+    /// Says the end to a client and drops what it still wrote, up to a bound: closing over unread bytes would reset the
+    /// connection, and with it answers that the client has not read yet.
+    fn drop_unread(&mut self, key: ConnKey) {
+        self.shutdown(key);
+        for _ in 0..DROPPED_CHUNKS {
+            let Some(conn) = self.conns.get_mut(key) else { return };
+            match conn.stream.read(&mut self.scratch) {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
     /// Ends a connection, with its log line.
     pub fn close(&mut self, now: i64, key: ConnKey, reason: Reason) {
+        let is_client =
+            self.conns.get(key).is_some_and(|conn| matches!(conn.role, Role::Thrift | Role::Signed));
+        // The process that it was handed on to reads there.
+        if is_client && reason != Reason::HandedOn {
+            self.drop_unread(key);
+        }
         let Some(mut conn) = self.conns.remove(key) else { return };
         if let (Stream::Tcp(stream), Poller::Mio { poll, .. }) = (&mut conn.stream, &self.poller) {
             let _ = poll.registry().deregister(stream);
--- a/src/server/figures.rs
+++ b/src/server/figures.rs
@@ -11,8 +11,8 @@
     /// Takes the callers that wait; each is read from at once, since its call is there already as a rule.
     pub(super) fn accept_callers(&mut self) {
         while let Some(conn) = self.accept_one(Role::Admin) {
-            if let Some(door) = &mut self.door {
-                door.front.open(self.now, conn, &mut self.net, &mut self.due);
+            if let Some(admin) = &mut self.admin {
+                admin.front.open(self.now, conn, &mut self.net, &mut self.due);
             }
             self.called(conn);
         }
@@ -20,8 +20,8 @@
 
     /// A caller's connection may be read from: answers the call that is whole now.
     pub(super) fn called(&mut self, conn: ConnKey) {
-        let Some(door) = &mut self.door else { return };
-        let Some(call) = door.front.ready(self.now, conn, &mut self.net, &mut self.due) else { return };
+        let Some(admin) = &mut self.admin else { return };
+        let Some(call) = admin.front.ready(self.now, conn, &mut self.net, &mut self.due) else { return };
         let (status, body) = match call {
             Call::Healthcheck if self.takes_clients() => (200, "ok\n".into()),
             Call::Healthcheck if self.stopping.is_some() => (503, "stopping\n".into()),
@@ -33,8 +33,8 @@
             },
         };
         let kind = if call == Call::Federation { "application/json" } else { admin::TEXT };
-        if let Some(door) = &mut self.door {
-            door.front.answer(self.now, conn, status, (kind, &body), &mut self.net, &mut self.due);
+        if let Some(admin) = &mut self.admin {
+            admin.front.answer(self.now, conn, status, (kind, &body), &mut self.net, &mut self.due);
         }
     }
 
--- a/src/server/leave.rs
+++ b/src/server/leave.rs
@@ -1,4 +1,8 @@
 //! The end: after the signal to stop, alone or with a newer process that takes over.
+//!
+//! Alone, clients and requests are taken for a while longer; then the listeners close behind the last connection that
+//! the system accepted, each connection is told the end as it falls idle, and the process ends once all is answered
+//! and the clients have closed, or have had time to.
 
 use super::handover::{Handed, Passed};
 use super::{Due, Server};
@@ -10,6 +14,9 @@
 
 /// After the signal to stop, new requests may come for 0.6 s: all of them are answered, us.
 const STOP_AFTER: Micros = 800_000;
+/// Once all is answered, clients that were told the end have this long to close, us: closing first could reset a
+/// connection whose last answer is not read yet.
+const CLOSING: Micros = 500_000;
 /// Longer than the longest deadline nothing is waited for, us.
 const STOP_AT_LAST: Micros = 30_000_000;
 /// How often the end is looked for then, us.
@@ -35,8 +42,7 @@
         }
     }
 
-    /// Leaves the clients that come to the newer process. What waits in a listener's queue would be reset with it: the
-    /// queue is emptied first.
+    /// Takes no more clients. What waits in a listener's queue would be reset with it: the queue is emptied first.
     pub(super) fn leave(&mut self) {
         for role in [Role::Thrift, Role::Signed] {
             while let Some(conn) = self.accept_one(role) {
@@ -47,7 +53,11 @@
         for listener in self.listener.take().into_iter().chain(links) {
             self.net.unlisten(listener);
         }
-        info!("clients are left to the newer process");
+        if self.handover.has_newer() {
+            info!("clients are left to the newer process");
+        } else {
+            info!("no more clients are taken");
+        }
         self.thrift.retire();
         if let Some(links) = &mut self.links {
             links.front.retire(self.now, &mut self.net, &mut self.due);
@@ -77,9 +87,9 @@
             }
             return;
         }
-        while let Some(conn) = self.thrift.fading(&mut self.net) {
+        while let Some(conn) = self.thrift.fading(self.now, &mut self.net) {
             // What has come meanwhile is still answered.
-            self.on_ready(Ready::Conn { key: conn, read: true, write: false });
+            self.on_ready(Ready::readable(conn));
             self.pump();
             self.thrift.fade(self.now, conn, crate::net::Reason::Stopping, &mut self.net, &mut self.due);
         }
@@ -98,7 +108,7 @@
                     self.admitting.admission.adopted(self.now, conn.number(), address);
                 }
                 // What was read there already brings no event.
-                self.on_ready(Ready::Conn { key: conn, read: true, write: false });
+                self.on_ready(Ready::readable(conn));
                 self.pump();
             }
             Err(error) => warn!("a connection that was handed on: {error}"),
@@ -113,20 +123,36 @@
 
     pub(super) fn look_for_end(&mut self) {
         let begun = self.stopping.unwrap_or(self.now);
-        let links = self.links.as_ref().map(|links| &links.front);
-        let flushed =
-            self.thrift.is_flushed(&self.net) && links.is_none_or(|links| links.is_flushed(&self.net));
+        if !self.is_leaving() {
+            return self.leave();
+        }
         let force = self.force();
-        if self.is_leaving() && force <= self.now {
+        if force <= self.now {
             self.core.expire(self.now, &mut self.due);
         }
-        let answered = self.core.unanswered() == 0 && flushed;
-        // A client that was told the end closes by itself; with its bytes unread it would be reset from here.
-        let left = !self.is_leaving() || self.clients() == 0 || force + STOP_LOOK < self.now;
-        if (answered && left) || begun + STOP_AT_LAST <= self.now {
+        if !self.is_answered() {
+            self.answered_since = None;
+        } else if self.answered_since.is_none() {
+            self.answered_since = Some(self.now);
+        }
+        let over = self.answered_since.is_some_and(|since| match self.handover.has_newer() {
+            _ if self.clients() == 0 => true,
+            true => force + STOP_LOOK < self.now,
+            false => since + CLOSING <= self.now,
+        });
+        if over || begun + STOP_AT_LAST <= self.now {
             self.stopped = true;
         } else {
             self.due.add(self.now + STOP_LOOK, Due::Stop);
         }
     }
+
+    /// Whether every request that was read has had its answer, down to the last byte.
+    fn is_answered(&self) -> bool {
+        let links = self.links.as_ref().map(|links| &links.front);
+        self.core.unanswered() == 0
+            && self.thrift.turns() == 0
+            && self.thrift.is_flushed(&self.net)
+            && links.is_none_or(|links| links.is_flushed(&self.net))
+    }
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -58,6 +58,15 @@
 /// the others for them.
 const ACCEPTS: usize = 32;
 const ACCEPT_NEXT: Micros = 1_000;
+
+/// Whose turn is first where several are ready at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Precedence {
+    Admin,
+    Feed,
+    Rest,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Core(core::Due),
@@ -142,8 +151,8 @@
     classes: Vec<(ClassId, Micros)>,
 }
 
-/// The operators' door, where there is one.
-struct Door {
+/// The admin endpoint, where there is one.
+struct AdminEndpoint {
     listener: Listener,
     front: admin::Front,
 }
@@ -162,7 +171,7 @@
     feed: Feed,
     thrift: thrift::Front,
     links: Option<Links>,
-    door: Option<Door>,
+    admin: Option<AdminEndpoint>,
     federation: Tie,
     /// Files accepted and turned down at SIGHUP.
     reloads: [u64; 2],
@@ -183,6 +192,8 @@
     /// Whether the list of servers has been had.
     listed: bool,
     stopping: Option<Micros>,
+    /// While no more clients are taken: since when all is answered.
+    answered_since: Option<Micros>,
     stopped: bool,
 }
 
@@ -232,11 +243,11 @@
         let listener = listen(&mut net, config.listen, true, LISTENER)?;
         let addr = listener.local_addr()?;
         let links = signed.map(|signed| Links::start(signed, &config, &mut net)).transpose()?;
-        let door = config.admin.map(|addr| {
+        let admin = config.admin.map(|addr| {
             let listener = listen(&mut net, addr, false, ADMIN)?;
-            Ok::<_, ServerError>(Door { listener, front: admin::Front::default() })
+            Ok::<_, ServerError>(AdminEndpoint { listener, front: admin::Front::default() })
         });
-        let door = door.transpose()?;
+        let admin = admin.transpose()?;
         let started = Started::of(&config);
         let names = config.settings.names;
         let budget = Budget::of(&config.limits, 1);
@@ -250,7 +261,7 @@
             feed: Feed::new(config.feed, config.known.n),
             thrift: thrift::Front::default(),
             links,
-            door,
+            admin,
             federation: Tie::default(),
             reloads: [0; 2],
             seed: config.seed,
@@ -264,6 +275,7 @@
             admitting: admit::Admitting::new(admission),
             listed: false,
             stopping: None,
+            answered_since: None,
             stopped: false,
             clock,
             now,
@@ -278,8 +290,8 @@
         if let Some(listener) = server.links.as_ref().and_then(|links| links.listener.as_ref()) {
             info!("links are served on {}", listener.local_addr()?);
         }
-        if let Some(door) = &server.door {
-            info!("operators are answered on {}", door.listener.local_addr()?);
+        if let Some(admin) = &server.admin {
+            info!("operators are answered on {}", admin.listener.local_addr()?);
         }
         Ok(server)
     }
@@ -317,22 +329,23 @@
         let wait = self.next_due().map(|at| Duration::from_micros((at - self.now).max(0) as u64));
         self.net.poll(wait, ready)?;
         self.now = self.clock.now();
-        // Operators' calls go ahead of whatever clients send.
-        ready.sort_by_key(|one| !self.is_for_door(*one));
+        ready.sort_by_key(|one| self.precedence(*one));
         for one in ready.drain(..) {
             self.on_ready(one);
-            self.pump();
+            self.settle();
         }
         while let Some(due) = self.due.pop(self.now) {
             self.on_due(due);
-            self.pump();
+            self.settle();
         }
         // Each that has more to read has one turn, behind all that was ready.
         for _ in 0..self.thrift.turns() {
             let Some(conn) = self.thrift.turn() else { break };
-            self.on_ready(Ready::Conn { key: conn, read: true, write: false });
-            self.pump();
+            self.on_ready(Ready::readable(conn));
+            self.settle();
         }
+        // Attempts are written behind all that came in the same turn: the news of the list and what clients gave up.
+        self.pump();
         self.fade();
         self.forget_closed();
         self.handover.tell(self.clients());
@@ -366,17 +379,27 @@
         if let Some(links) = &mut self.links {
             links.front.stop(self.now, &mut self.net, &mut self.due);
         }
-        if let Some(door) = &mut self.door {
-            door.front.stop(self.now, &mut self.net, &mut self.due);
+        if let Some(admin) = &mut self.admin {
+            admin.front.stop(self.now, &mut self.net, &mut self.due);
         }
         self.upstream.stop(self.now, &mut self.net, &mut self.due);
         info!("stopped");
     }
 
-    fn is_for_door(&self, ready: Ready) -> bool {
+    fn is_for_admin(&self, ready: Ready) -> bool {
         match ready {
             Ready::Source(number) => number == ADMIN,
-            Ready::Conn { key, .. } => self.door.as_ref().is_some_and(|door| door.front.owns(key)),
+            Ready::Conn { key, .. } => self.admin.as_ref().is_some_and(|admin| admin.front.owns(key)),
+        }
+    }
+
+    /// The order in which what is ready at once is taken in: operators' calls go ahead of whatever clients send, and
+    /// news of the list ahead of decisions that rest on it.
+    fn precedence(&self, ready: Ready) -> Precedence {
+        match ready {
+            _ if self.is_for_admin(ready) => Precedence::Admin,
+            Ready::Conn { key, .. } if self.feed.owns(key) => Precedence::Feed,
+            _ => Precedence::Rest,
         }
     }
 
@@ -405,19 +428,22 @@
                     self.stop();
                 }
             }
-            Ready::Conn { key, read, write } => {
+            Ready::Conn { key, read, write, closed } => {
                 if self.feed.owns(key) {
                     for batch in self.feed.ready(self.now, &mut self.net, &mut self.due) {
                         self.news(batch);
                     }
-                } else if self.is_for_door(ready) {
+                } else if self.is_for_admin(ready) {
                     self.called(key);
                 } else if self.thrift.owns(key) {
-                    let asks = self.thrift.ready(self.now, key, &mut self.net, &mut self.due);
+                    let asks = self.thrift.ready(self.now, key, closed, &mut self.net, &mut self.due);
                     self.asked(asks);
                     self.end_refused(key);
                 } else if self.links.as_ref().is_some_and(|links| links.front.owns(key)) {
-                    self.read_links(key);
+                    match self.links.as_mut().filter(|_| closed) {
+                        Some(links) => links.front.closed(self.now, key, &mut self.net, &mut self.due),
+                        None => self.read_links(key),
+                    }
                     self.advance(key);
                 } else {
                     self.upstream.held_elsewhere(self.core.held() + self.bodies);
@@ -442,8 +468,8 @@
                 self.advance(conn);
             }
             Due::Admin(what) => {
-                if let Some(door) = &mut self.door {
-                    door.front.due(self.now, what, &mut self.net, &mut self.due);
+                if let Some(admin) = &mut self.admin {
+                    admin.front.due(self.now, what, &mut self.net, &mut self.due);
                 }
             }
             Due::Accept => {
@@ -513,30 +539,42 @@
     fn accept_raw(&mut self, role: Role) -> io::Result<Result<Option<ConnKey>, ()>> {
         let listener = match role {
             Role::Thrift => self.listener.as_ref(),
-            Role::Admin => self.door.as_ref().map(|door| &door.listener),
+            Role::Admin => self.admin.as_ref().map(|admin| &admin.listener),
             _ => self.links.as_ref().and_then(|links| links.listener.as_ref()),
         };
         let Some(listener) = listener else { return Ok(Err(())) };
         self.net.accept(self.now, listener, role).map(Ok)
     }
 
-    /// Does what the core wants, and tells it what came of it, until both are quiet.
+    /// Does what the core wants, and tells it what came of it, until both are quiet; writes no attempt.
+    fn settle(&mut self) {
+        while self.settle_once() {}
+    }
+
+    /// The same, and writes the attempts that connections take.
     fn pump(&mut self) {
         loop {
-            let happened = self.upstream.happened();
-            let mut quiet = happened.is_empty();
-            happened.into_iter().for_each(|happening| self.on_happening(happening));
-            while let Some(command) = self.core.command() {
-                quiet = false;
-                self.carry_out(command);
-            }
+            self.settle();
             self.dispatch();
-            if quiet {
+            // An attempt that may not be written any more is decided on anew.
+            if !self.settle_once() {
                 return;
             }
         }
     }
 
+    /// Whether there was anything to tell the core or to do for it.
+    fn settle_once(&mut self) -> bool {
+        let happened = self.upstream.happened();
+        let mut busy = !happened.is_empty();
+        happened.into_iter().for_each(|happening| self.on_happening(happening));
+        while let Some(command) = self.core.command() {
+            busy = true;
+            self.carry_out(command);
+        }
+        busy
+    }
+
     fn dispatch(&mut self) {
         let (now, core, members) = (self.now, &mut self.core, &self.members);
         let (waiting, names) = (&self.waiting, &self.names);
@@ -762,7 +800,8 @@
             }
         };
         self.in_good_standing(conn);
-        let words::Form { class, object, part, group, patience, trace, item, seen } = form;
+        let words::Form { class, object, part, group, patience, trace, item, seen } =
+            form;
         let patience = (patience - WAY).max(1);
         let ask = Ask { class, object, part, group, patience, expires: None };
         let request = self.core.submit(self.now, ask, &mut self.due);
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -34,6 +34,8 @@
 const TRIES: u32 = 2;
 /// Ids given up that a connection remembers.
 const GIVEN_UP: usize = 4096;
+/// Ids answered that a connection remembers, the newest: a second answer comes within some milliseconds, if one does.
+const ANSWERED: usize = 64;
 /// A write goes by a connection of its own that has stood this long, us: on one that is reset while new, or that its
 /// server gives up at the moment of its next use, it may have run and has failed.
 const PROVEN: i64 = 3_000;
@@ -157,6 +159,8 @@
     open: BTreeMap<String, Job>,
     /// Ids that were given up there: a late answer may still come, so none of them is used there again.
     given_up: BTreeSet<String>,
+    /// Ids that were answered there of late: a second answer must not be taken for one to a repeat.
+    answered: VecDeque<String>,
     reader: Reader,
     /// Since when something waits there with nothing heard.
     waiting: Option<i64>,
@@ -175,7 +179,18 @@
 
 impl Link {
     fn takes(&self, id: &str) -> bool {
-        !self.open.contains_key(id) && !self.given_up.contains(id)
+        let known = self.open.contains_key(id) || self.given_up.contains(id);
+        !known && self.answered.iter().all(|answered| answered != id)
+    }
+
+    /// Takes the job that an id is open for, which was answered.
+    fn answered(&mut self, id: &str) -> Option<Job> {
+        let job = self.open.remove(id)?;
+        if self.answered.len() == ANSWERED {
+            self.answered.pop_front();
+        }
+        self.answered.push_back(id.to_owned());
+        Some(job)
     }
 
     /// Whether a write may go there.
@@ -232,14 +247,8 @@
 
     /// Closes idle connections while there are more than may be held.
     pub fn trim(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
-        let idle = self.links.iter().filter(|(_, link)| link.up && link.open.is_empty());
-        let mut idle: Vec<(i64, ConnKey)> = idle.map(|(key, link)| (link.rests, *key)).collect();
-        idle.sort_unstable();
-        for (_, key) in idle {
-            if net.count(Role::Upstream) > self.figures.most {
-                self.drop_link(now, key, Reason::Evicted, net, due);
-            }
-        }
+        let over = net.count(Role::Upstream).saturating_sub(self.figures.most);
+        (0..over).for_each(|_| self.drop_idlest(now, net, due));
     }
 
     /// What has happened since the last call.
@@ -419,11 +428,20 @@
             return false;
         };
         let more = lane == 0 && link.open.len() >= SPREAD && coming == 0 && !full && known.rest_until <= now;
+        // A write on a connection that its server has closed would have failed as one that may have run.
+        if lane == 1 {
+            if let Err(reason) = self.read(now, key, net) {
+                self.drop_link(now, key, reason, net, due);
+                return true;
+            }
+        }
+        let Some(known) = self.hosts.get_mut(&host).map(|known| &mut known.lanes[lane]) else { return false };
         known.queue.pop_front();
+        let Some(id) = self.jobs.get(&job).map(|place| place.id.clone()) else { return true };
         let parts = match job {
-            Job::Probe(_) => vec![lines::stats(id)],
+            Job::Probe(_) => vec![lines::stats(&id)],
             Job::Fetch(number) => match word(number, due) {
-                Some(fetch) => vec![lines::fetch_head(id, &fetch), fetch.body, "\r\n".into()],
+                Some(fetch) => vec![lines::fetch_head(&id, &fetch), fetch.body, "\r\n".into()],
                 None => {
                     self.jobs.remove(&job);
                     return true;
@@ -474,12 +492,15 @@
         net: &mut Net,
         due: &mut dyn Schedule<Due>,
     ) -> bool {
+        if net.count(Role::Upstream) >= self.figures.most {
+            self.drop_idlest(now, net, due);
+        }
         let Some(known) = self.hosts.get_mut(&host) else { return false };
         let room = net.count(Role::Upstream) < self.figures.most;
-        let Ok(key) =
-            (if room { net.connect(now, known.addr, Role::Upstream).map_err(drop) } else { Err(()) })
-        else {
-            self.no_link(now, host, lane);
+        let connected = if room { net.connect(now, known.addr, Role::Upstream).ok() } else { None };
+        let Some(key) = connected else {
+            // For want of descriptors here: that says nothing of the server.
+            self.no_link(now, host, lane, Ending::Unsent);
             return false;
         };
         known.lanes[lane].links.push(key);
@@ -490,6 +511,7 @@
             up: false,
             open: BTreeMap::new(),
             given_up: BTreeSet::new(),
+            answered: VecDeque::new(),
             reader: Reader::default(),
             waiting: None,
             unheard: 0,
@@ -505,8 +527,17 @@
         true
     }
 
+    /// Closes the connection that has been idle longest, if one is.
+    fn drop_idlest(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
+        let idle = self.links.iter().filter(|(_, link)| link.up && link.open.is_empty());
+        let idlest = idle.min_by_key(|(key, link)| (link.rests, **key)).map(|(key, _)| *key);
+        if let Some(key) = idlest {
+            self.drop_link(now, key, Reason::Evicted, net, due);
+        }
+    }
+
     /// A connection failed to come up: what is queued ends unless another may still take it.
-    fn no_link(&mut self, now: i64, host: u32, lane: usize) {
+    fn no_link(&mut self, now: i64, host: u32, lane: usize, ending: Ending) {
         let Some(known) = self.hosts.get_mut(&host).map(|known| &mut known.lanes[lane]) else { return };
         known.rest_until = now + REST;
         let hope = |key: &ConnKey| {
@@ -516,7 +547,7 @@
             return;
         }
         let queue = std::mem::take(&mut known.queue);
-        queue.into_iter().for_each(|job| self.end(now, job, Ending::NotConnected));
+        queue.into_iter().for_each(|job| self.end(now, job, ending.clone()));
     }
 
     /// A connection may be read from, or written to.
@@ -584,7 +615,7 @@
             }
             for answer in answers {
                 // An id that is not open was given up: its answer came late.
-                match self.links.get_mut(&key).and_then(|link| link.open.remove(&answer.id)) {
+                match self.links.get_mut(&key).and_then(|link| link.answered(&answer.id)) {
                     Some(job) => self.end(now, job, Ending::Answer(answer)),
                     None => drop(answer),
                 }
@@ -691,7 +722,7 @@
         if again {
             self.connect(now, link.host, link.lane, net, due);
         } else if !link.up {
-            self.no_link(now, link.host, link.lane);
+            self.no_link(now, link.host, link.lane, Ending::NotConnected);
         }
     }
 
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -141,3 +141,66 @@
     pool.upstream.drop_link(820_000, key, Reason::PeerClosed, &mut pool.net, &mut pool.due);
     assert_eq!(pool.upstream.figures.idle, 820_000);
 }
+
+/// A repeat on the connection of its first answer could take a second answer to that one for its own.
+#[test]
+fn a_repeat_takes_no_second_answer_to_its_first_attempt() {
+    let mut pool = pool();
+    let (mut peer, _) = pool._listener.accept().expect("a connection");
+    let (key, mut ready) = (pool.link(), Vec::new());
+    let mut until = |pool: &mut Pool, done: fn(&Link) -> bool| {
+        while !done(&pool.upstream.links[&key]) {
+            pool.net.poll(None, &mut ready).expect("a poll");
+            pool.upstream.ready(0, key, true, true, &mut pool.net, &mut pool.due);
+            pool.dispatch();
+        }
+    };
+    until(&mut pool, |link| !link.open.is_empty());
+    std::io::Write::write_all(&mut peer, b"a 503 - 0\r\n").expect("written");
+    until(&mut pool, |link| !link.answered.is_empty());
+    assert_eq!(pool.upstream.happened().len(), 1);
+    pool.upstream.queue(0, 1, 8, "a".into(), false, None);
+    pool.dispatch();
+    assert!(pool.upstream.jobs[&Job::Fetch(8)].link.is_none(), "not on this connection");
+    assert_eq!(pool.upstream.links.len(), 2, "but on a further one");
+}
+
+/// A write on a connection whose server has closed it already would have failed as one that may have run.
+#[test]
+fn a_write_does_not_go_out_on_a_connection_that_its_server_has_closed() {
+    let mut pool = pool_of(true);
+    let first = pool.link();
+    let (peer, _) = pool._listener.accept().expect("a connection");
+    pool.upstream.links.get_mut(&first).expect("it is there").up = true;
+    drop(peer);
+    // The end is there, and its event has not been looked at.
+    while pool.net.ended(first) == Ok(false) {}
+    pool.upstream.dispatch(PROVEN, &mut pool.net, &mut pool.due, &mut |_, _| Some(Fetch::default()));
+    assert!(pool.upstream.happened().is_empty(), "it has not failed");
+    assert!(!pool.upstream.links.contains_key(&first) && pool.upstream.jobs[&Job::Fetch(7)].link.is_none());
+}
+
+/// A server must not be held for failed because this process has no descriptor left for a connection to it.
+#[test]
+fn without_a_descriptor_the_idlest_connection_goes_or_the_job_is_unsent() {
+    let mut pool = pool();
+    let key = pool.link();
+    pool.upstream.figures.most = 1;
+    let other = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = other.local_addr().expect("an address");
+    pool.upstream.set_host(0, 2, addr, None, &mut pool.net, &mut pool.due);
+    pool.upstream.queue(0, 2, 8, "b".into(), false, None);
+    pool.dispatch();
+    assert_eq!(
+        pool.upstream.happened(),
+        [Happening::Ended { job: 8, ending: Ending::Unsent }],
+        "none is idle"
+    );
+    let link = pool.upstream.links.get_mut(&key).expect("it is there");
+    link.up = true;
+    link.open.clear();
+    pool.upstream.give_up(0, 7, &mut pool.net, &mut pool.due);
+    pool.upstream.queue(0, 2, 9, "c".into(), false, None);
+    pool.dispatch();
+    assert!(pool.upstream.happened().is_empty() && !pool.upstream.links.contains_key(&key));
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The program on real sockets: one test for each rule, with clients and servers written here.
 
 mod admission;
+mod crossings;
 mod links;
 mod operators;
 mod platform;
--- a/tests/sockets/platform.rs
+++ b/tests/sockets/platform.rs
@@ -20,7 +20,7 @@
     [&(text.len() as i32).to_be_bytes()[..], text.as_bytes()].concat()
 }
 
-fn message(kind: u8, name: &str, seqid: i32, arguments: &[u8]) -> Vec<u8> {
+pub fn message(kind: u8, name: &str, seqid: i32, arguments: &[u8]) -> Vec<u8> {
     let head = [&[0x80, 1, 0, kind][..], &text(name), &seqid.to_be_bytes(), arguments, &[0]].concat();
     [&(head.len() as i32).to_be_bytes()[..], &head].concat()
 }
@@ -32,6 +32,11 @@
     message(1, "invoke", seqid, &map)
 }
 
+/// The client gives up the request of this number.
+pub fn cancel(seqid: i32, target: i32) -> Vec<u8> {
+    message(4, "abort", seqid, &[&[8, 0, 1][..], &target.to_be_bytes()].concat())
+}
+
 pub fn trace(seqid: i32) -> String {
     format!("{:016x}", 0x1b1f_0000 + seqid)
 }
@@ -237,7 +242,7 @@
     let mut client = Client::new(&proxy);
     client.send(&request(1, "replay"));
     let mut got = cache.next();
-    client.send(&message(4, "abort", 2, &[&[8, 0, 1][..], &1i32.to_be_bytes()].concat()));
+    client.send(&cancel(2, 1));
     assert_eq!(cache.next().words, ["abort", &trace(1)]);
     got.answer("200", "ver=a", b"late");
     client.send(&request(3, "replay"));
@@ -380,7 +385,7 @@
     for seqid in 2..=6 {
         client.send(&request(seqid, "replay"));
         let _unanswered = cache.next();
-        client.send(&message(4, "abort", 100 + seqid, &[&[8, 0, 1][..], &seqid.to_be_bytes()].concat()));
+        client.send(&cancel(100 + seqid, seqid));
         assert_eq!(cache.next().words[0], "abort");
     }
     open.answer("200", "ver=a", b"ran");
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -201,6 +201,30 @@
 impl Proxy {
     /// Starts one that knows these caches; `change` is applied to its configuration's text.
     pub fn start(name: &str, caches: &[&Cache], change: impl Fn(&str) -> String, more: &[&str]) -> Self {
+        let (path, feed) = Self::configure(name, caches, change);
+        Self::spawn(path, feed, more)
+    }
+
+    /// Starts one that the system lets hold so many descriptors.
+    pub fn start_with_descriptors(
+        most: usize,
+        name: &str,
+        caches: &[&Cache],
+        change: impl Fn(&str) -> String,
+    ) -> Self {
+        let (path, feed) = Self::configure(name, caches, change);
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &format!("ulimit -n {most} && exec \"$0\" \"$@\"")]);
+        shell.arg(env!("CARGO_BIN_EXE_dahliatrack"));
+        Self::spawn_by(shell, path, feed, &[])
+    }
+
+    /// Writes the configuration of one that knows these caches.
+    fn configure(
+        name: &str,
+        caches: &[&Cache],
+        change: impl Fn(&str) -> String,
+    ) -> (std::path::PathBuf, Feed) {
         let feed = Feed::default();
         let hosts: Vec<String> = caches.iter().map(|cache| host(cache, "up")).collect();
         feed.tell(&members(true, &hosts));
@@ -213,7 +237,7 @@
         );
         let path = folder(name).join("config.json");
         std::fs::write(&path, change(&config)).expect("a file");
-        Self::spawn(path, feed, more)
+        (path, feed)
     }
 
     /// Starts a newer process beside this one: the same files, folder and addresses but for the door's.
@@ -224,7 +248,11 @@
     }
 
     fn spawn(config: std::path::PathBuf, feed: Feed, more: &[&str]) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_dahliatrack"))
+        Self::spawn_by(Command::new(env!("CARGO_BIN_EXE_dahliatrack")), config, feed, more)
+    }
+
+    fn spawn_by(mut program: Command, config: std::path::PathBuf, feed: Feed, more: &[&str]) -> Self {
+        let mut child = program
             .args(["serve", "--config"])
             .arg(&config)
             .args(more)
@@ -254,6 +282,15 @@
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
+    /// Stops the process where it is, and waits until it is stopped; SIGCONT lets it go on.
+    pub fn stall(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).expect("its state").contains(") T ") {
+            std::thread::yield_now();
+        }
+    }
+
     /// Waits for a log line that holds these words; gives what follows them.
     pub fn logged(&self, words: &str) -> String {
         // Lines that keep coming (a feed that falls silent logs every 1.7 s) must not make the wait endless.
