--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -7,7 +7,7 @@
 mod handover;
 mod leave;
 mod reload;
-mod words;
+mod translate;
 
 use crate::admission::AdmissionSettings;
 use crate::config::events::{Batch, Numbered};
@@ -140,6 +140,7 @@
     class: ClassId,
     trace: String,
     item: String,
+    idempotency_key: Option<String>,
     body: Bytes,
 }
 
@@ -585,18 +586,19 @@
             let from = order.source.and_then(|source| members.name(source));
             // One tag can be passed on; several are looked through when the answer is there.
             let seen = if let [tag] = &asked.tags[..] { Some(tag.clone()) } else { None };
-            Some(words::fetch(&order, class, from, &asked.item, seen, &asked.body))
+            let key = asked.idempotency_key.clone();
+            Some(translate::fetch(&order, class, from, &asked.item, seen, key, &asked.body))
         });
     }
 
     fn on_happening(&mut self, happening: Happening) {
         match happening {
             Happening::Ended { job, ending } => {
-                let end = words::end(ending, &self.names);
+                let end = translate::end(ending, &self.names);
                 self.core.ended(self.now, Key::from_number(job), end, &mut self.due);
             }
             Happening::Probed { host, ending, elapsed } => {
-                let end = words::end(ending, &self.names);
+                let end = translate::end(ending, &self.names);
                 self.core.probed(self.now, ServerId(host), end.result, elapsed, end.load, &mut self.due);
             }
         }
@@ -619,7 +621,7 @@
                     let (conn, seqid) = (*conn, *seqid);
                     let Some(answer) = self.core.answer_now(self.now, request) else { return };
                     self.over(request);
-                    let reply = words::reply(answer);
+                    let reply = translate::reply(answer);
                     let asks = self.thrift.answer(self.now, conn, seqid, reply, &mut self.net, &mut self.due);
                     self.asked(asks);
                 }
@@ -651,7 +653,7 @@
             let request = Key::from_number(number);
             let Some(answer) = self.core.answer_now(now, request) else { break };
             let tags = self.waiting.get(&request).map(|waiting| &waiting.tags[..]).unwrap_or_default();
-            let answer = words::answer(answer, tags, now);
+            let answer = translate::answer(answer, tags, now);
             if !links.front.begin(now, conn, answer, &mut self.net, &mut self.due) {
                 break;
             }
@@ -711,7 +713,7 @@
         if full {
             let refused = Final::Refused { pause: self.core.pause(class), late: false, why: Why::Full };
             self.core.count(class, &refused);
-            return links.front.say(conn, number, words::answer(refused, &[], now));
+            return links.front.say(conn, number, translate::answer(refused, &[], now));
         }
         let (object, group, expires) = (ObjectId(object), GroupId(group), Some(expires));
         let ask = Ask { class, object, part, group, patience, expires };
@@ -720,30 +722,30 @@
         // The servers know a request by an id that no other edge proxy's requests have.
         let trace = format!("{:016x}", self.seed ^ request.number().rotate_left(32));
         let (client, item, body) = (Client::Signed { conn }, format!("{:016x}", object.0), Bytes::new());
-        self.wait(request, Waiting { client, tags, class, trace, item, body });
+        self.wait(request, Waiting { client, tags, class, trace, item, idempotency_key: None, body });
     }
 
     fn asked(&mut self, asks: Vec<thrift::Ask>) {
         for ask in asks {
             match ask {
                 thrift::Ask::Invoke { conn, seqid, fields, body } => {
-                    let class = words::class(&fields, &self.names);
+                    let class = translate::class(&fields, &self.names);
                     if let Some(refused) = self.refused_call(conn, class) {
                         let asks =
                             self.thrift.answer(self.now, conn, seqid, refused, &mut self.net, &mut self.due);
                         self.asked(asks);
                     } else if self.thrift.is_open(conn, seqid) {
-                        let form = words::form(&fields, &self.names).and_then(|form| match &form {
+                        let form = translate::form(&fields, &self.names).and_then(|form| match &form {
                             _ if body.len() > thrift::MOST_BODY => Err("the body is too long".into()),
                             form if self.ids.contains(&form.trace) => Err("trace is another's".into()),
                             _ => Ok(form),
                         });
-                        let class = words::class(&fields, &self.names);
+                        let class = translate::class(&fields, &self.names);
                         self.invoke(conn, seqid, class, form, body);
                     }
                 }
                 thrift::Ask::Over { conn, seqid, fields } => {
-                    let class = words::class(&fields, &self.names);
+                    let class = translate::class(&fields, &self.names);
                     let refused = self.refused_call(conn, class).unwrap_or_else(|| self.refuse(class));
                     self.say(conn, seqid, refused);
                 }
@@ -773,7 +775,7 @@
     fn refusal(&mut self, class: Option<ClassId>, pause: Micros) -> Reply {
         let refused = Final::Refused { pause, late: false, why: Why::Full };
         class.into_iter().for_each(|class| self.core.count(class, &refused));
-        words::reply(refused)
+        translate::reply(refused)
     }
 
     fn invoke(
@@ -781,7 +783,7 @@
         conn: ConnKey,
         seqid: i32,
         class: Option<ClassId>,
-        form: Result<words::Form, String>,
+        form: Result<translate::Form, String>,
         body: Bytes,
     ) {
         let refused = match form {
@@ -800,7 +802,7 @@
             }
         };
         self.in_good_standing(conn);
-        let words::Form { class, object, part, group, patience, trace, item, seen } =
+        let translate::Form { class, object, part, group, patience, trace, item, seen, idempotency_key } =
             form;
         let patience = (patience - WAY).max(1);
         let ask = Ask { class, object, part, group, patience, expires: None };
@@ -809,7 +811,7 @@
         let (client, tags) = (Client::Thrift { conn, seqid }, Vec::from_iter(seen));
         // A copy: a slice would keep the whole buffer that the frame came in.
         let body = Bytes::copy_from_slice(&body);
-        self.wait(request, Waiting { client, tags, class, trace, item, body });
+        self.wait(request, Waiting { client, tags, class, trace, item, idempotency_key, body });
     }
 
     /// Takes in events of the control feed, in their order.
--- a/src/server/words.rs
+++ b/src/server/translate/mod.rs
@@ -1,11 +1,11 @@
-//! What one part's words mean in another's.
+//! Translation between the wires' messages and the core's requests, attempts and outcomes.
 
 use crate::config::settings::Names;
 use crate::core::{Copy, End, Final, Order};
 use crate::front::signed::http;
 use crate::front::thrift::codec::Reply;
 use crate::interface::{AttemptResult, ClassId, GroupId, Micros, Note, ObjectId};
-use crate::upstream::lines::{Answer, Fetch};
+use crate::upstream::lines::{self, Answer, Fetch};
 use crate::upstream::Ending;
 use bytes::Bytes;
 use std::collections::BTreeMap;
@@ -34,6 +34,8 @@
     pub item: String,
     /// The tag of the client's copy.
     pub seen: Option<String>,
+    /// The idempotency key by which servers know a repeat, as the client gave it.
+    pub idempotency_key: Option<String>,
 }
 
 /// The class that a request names, whatever else is wrong with it.
@@ -68,6 +70,11 @@
     if group >= GROUPS {
         return Err("set is no number of its range".into());
     }
+    let idempotency_key = field("nonce").map(str::to_owned);
+    // Servers must get it as it is, or they could not tell a repeat from a new request.
+    if idempotency_key.as_ref().is_some_and(|key| !lines::is_plain(key)) {
+        return Err("nonce is no plain word".into());
+    }
     Ok(Form {
         class: ClassId(class as u16),
         object: ObjectId(object),
@@ -77,6 +84,7 @@
         trace: trace.to_owned(),
         item: item.to_owned(),
         seen: field("seen").map(str::to_owned),
+        idempotency_key,
     })
 }
 
@@ -87,6 +95,7 @@
     from: Option<&str>,
     item: &str,
     seen: Option<String>,
+    idempotency_key: Option<String>,
     body: &Bytes,
 ) -> Fetch {
     // Whole milliseconds: an age never rounds up, and never to 0, which would mean any age.
@@ -104,6 +113,7 @@
         pass: order.no_parent_copy,
         swr: order.renew,
         seen,
+        idempotency_key,
         body: body.clone(),
     }
 }
--- a/src/server/words/tests.rs
+++ b/src/server/translate/tests.rs
@@ -37,7 +37,12 @@
     let bare =
         form(&fields(&[("slice", None), ("set", None), ("seen", Some("t"))]), &names()).expect("a form");
     assert_eq!((bare.part, bare.group, bare.seen.as_deref()), (0, GroupId(0), Some("t")));
+    let keyed = form(&fields(&[("nonce", Some("4be0c192-7d"))]), &names()).expect("a form");
+    assert_eq!((bare.idempotency_key, keyed.idempotency_key.as_deref()), (None, Some("4be0c192-7d")));
     for (name, value) in [
+        ("nonce", Some("")),
+        ("nonce", Some("a,from=s-9")),
+        ("nonce", Some("a b")),
         ("route", None),
         ("route", Some("other")),
         ("trace", None),
--- a/src/upstream/lines.rs
+++ b/src/upstream/lines.rs
@@ -5,6 +5,8 @@
 
 /// The longest line of an answer.
 pub const LONGEST_LINE: usize = 4096;
+/// The longest word of a client's that is passed on.
+const LONGEST_WORD: usize = 128;
 /// The most bytes that an answer may carry: an object of the protocol has 240,000.
 pub const MOST_BYTES: usize = 1 << 18;
 
@@ -35,6 +37,8 @@
     pub swr: bool,
     /// The tag of the client's copy; passed on only if it is one word that can't be mistaken.
     pub seen: Option<String>,
+    /// The idempotency key, a plain word.
+    pub idempotency_key: Option<String>,
     /// What the client sent along.
     pub body: Bytes,
 }
@@ -60,18 +64,22 @@
     if !mode.is_empty() {
         field("mode", &mode.join("+"));
     }
-    // A client's tag is its own words: one that would break the line is not passed on.
-    let plain = |tag: &&String| {
-        let fits = |c: char| c.is_ascii_alphanumeric() || "_-.:".contains(c);
-        !tag.is_empty() && tag.len() <= 128 && tag.chars().all(fits)
-    };
-    if let Some(seen) = fetch.seen.as_ref().filter(plain) {
+    if let Some(key) = fetch.idempotency_key.as_ref().filter(|key| is_plain(key)) {
+        field("nonce", key);
+    }
+    if let Some(seen) = fetch.seen.as_ref().filter(|seen| is_plain(seen)) {
         field("seen", seen);
     }
     let _ = write!(line, " {}\r\n", fetch.body.len());
     line.into()
 }
 
+/// Whether a client's word can be passed on: one that would break the line cannot.
+pub fn is_plain(word: &str) -> bool {
+    let fits = |c: char| c.is_ascii_alphanumeric() || "_-.:".contains(c);
+    (1..=LONGEST_WORD).contains(&word.len()) && word.chars().all(fits)
+}
+
 /// Gives a request up.
 pub fn abort(id: &str) -> Bytes {
     format!("abort {id}\r\n").into()
@@ -294,10 +302,11 @@
             share: true,
             swr: true,
             seen: Some("t4".into()),
+            idempotency_key: Some("k7".into()),
             body: Bytes::from_static(b"xyz"),
             ..plain.clone()
         };
-        let fields = "chunk=3,limit=900,from=s-1,rank=2,oldest=40,mode=share+swr,seen=t4";
+        let fields = "chunk=3,limit=900,from=s-1,rank=2,oldest=40,mode=share+swr,nonce=k7,seen=t4";
         assert_eq!(head(&full), format!("fetch 5 cls=piece,item=7f,{fields} 3\r\n"));
         let hostile = Fetch { seen: Some("a,from=s-9 0\r\n".into()), ..plain.clone() };
         assert_eq!(head(&hostile), head(&plain), "a tag never adds words to the line");
--- a/tests/sockets/crossings.rs
+++ b/tests/sockets/crossings.rs
@@ -1,7 +1,7 @@
 //! Rare moments, each forced: signals, ends, answers and cancellations that meet in one wake-up of the program, or
 //! between two steps of one request. A stopped process (SIGSTOP) takes in at once what came meanwhile.
 
-use crate::platform::{cancel, message, request, served, trace, Client, Reply};
+use crate::platform::{cancel, invoke, message, request, served, trace, Client, Reply};
 use crate::stand_ins::*;
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
@@ -343,3 +343,27 @@
     }
     assert!(site.caches.iter().all(|cache| cache.rest().is_empty()));
 }
+
+/// Servers know a repeat by its idempotency key: it goes with every attempt as the client gave it.
+#[test]
+fn a_keyed_request_is_repeated_under_its_idempotency_key() {
+    let token = |text: &str| text.replace("\"side_effect\"", "\"token\"");
+    let site = site_with("idempotency-key", token);
+    let mut client = Client::new(&site.proxy);
+    let trace = trace(1);
+    let fields = [
+        ("route", "result"),
+        ("trace", &trace[..]),
+        ("patience", "4000"),
+        ("entity", "7f3a9c21e0b4d655"),
+        ("nonce", "4be0c1927d55a6f3"),
+    ];
+    client.send(&invoke(1, &fields, b"won"));
+    let mut first = site.next();
+    assert_eq!(first.field("nonce"), Some("4be0c1927d55a6f3"));
+    first.reset();
+    let mut repeat = site.next();
+    assert_eq!((repeat.field("nonce"), &repeat.body[..]), (Some("4be0c1927d55a6f3"), &b"won"[..]));
+    repeat.answer("200", "ver=a", b"ran");
+    assert_eq!(client.reply(), (1, served(b"ran")));
+}
