--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::deadlines::Deadlines;
 use crate::interface::{Class, DedupScope, Effect, Limits, Notes, Rules, Siblings};
+use bytes::Bytes;
 
 const MS: Micros = 1000;
 const SECOND: Micros = 1000 * MS;
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -2,11 +2,13 @@
 //! writes each one answer.
 
 pub mod codec;
+mod session;
 
-use crate::deadlines::{Handle, Schedule};
+use crate::deadlines::Schedule;
 use crate::net::{ConnKey, Net, Reason};
 use bytes::{Buf, Bytes, BytesMut};
 use codec::{Method, Reply, PREFIX};
+use session::Session;
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{info, warn};
 
@@ -77,52 +79,6 @@
     Gone(u64),
 }
 
-struct Session {
-    /// The open requests, and their numbers once they are bound.
-    open: BTreeMap<i32, Option<u64>>,
-    look: Option<Handle>,
-    /// Bytes written, and when some were last.
-    wrote: u64,
-    moved: i64,
-    /// When a message came or was answered last.
-    heard: i64,
-    /// Since when a message is awaited that has begun, or a first one.
-    begun: Option<i64>,
-    /// It has sent a whole message.
-    asked: bool,
-    /// There may be more to read than its turn allowed.
-    more: bool,
-    /// Since when nothing more is read: it is to be handed on once what is open is answered...
-    paused: Option<i64>,
-    /// ... but not before this: it had its pause.
-    rested: i64,
-    /// All is said, and the client is to close: closing first, with its bytes unread, would reset the connection
-    /// and could take the last answers away from it.
-    lingers: Option<i64>,
-    /// The write side is shut down: no answer waits to be written any more.
-    shut_down: bool,
-    /// What came can't be read on from here: the connection ends for this once what is open there is answered.
-    unreadable: Option<Reason>,
-}
-
-impl Session {
-    /// Whether all that it asked is answered and no further message has begun.
-    fn is_idle(&self, now: i64, conn: ConnKey, net: &mut Net) -> bool {
-        let unread = |net: &mut Net| net.input(conn, |input| !input.is_empty()).unwrap_or(false);
-        let asked = self.asked || self.heard + NEVER_ASKED <= now;
-        let quiet = asked && self.lingers.is_none() && !self.more && self.open.is_empty();
-        quiet && net.unwritten(conn) == 0 && !unread(net)
-    }
-
-    /// Reads again: what has come meanwhile has its turn.
-    fn resume(&mut self, conn: ConnKey, turns: &mut VecDeque<ConnKey>) {
-        self.paused = None;
-        if !std::mem::replace(&mut self.more, true) {
-            turns.push_back(conn);
-        }
-    }
-}
-
 /// The clients' connections.
 #[derive(Default)]
 pub struct Front {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,9 +4,11 @@
 mod clock;
 pub mod fabric;
 mod reason;
+mod stream;
 
 pub use clock::Clock;
 pub use reason::Reason;
+pub use stream::{Listener, Stream};
 
 use crate::slots::{Key, Slots};
 use bytes::{Bytes, BytesMut};
@@ -15,7 +17,7 @@
 use mio::{Events, Interest, Poll, Token};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::VecDeque;
-use std::io::{self, IoSlice, Read, Write};
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tracing::info;
@@ -85,80 +87,6 @@
     pub bytes: usize,
 }
 
-/// A connection's socket, or its end in the simulator.
-pub enum Stream {
-    /// The system's.
-    Tcp(TcpStream),
-    /// The simulator's.
-    Virtual(fabric::End),
-}
-
-impl Stream {
-    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
-        match self {
-            Stream::Tcp(stream) => stream.read(into),
-            Stream::Virtual(end) => end.read(into),
-        }
-    }
-
-    fn write_vectored(&mut self, slices: &[IoSlice<'_>]) -> io::Result<usize> {
-        match self {
-            Stream::Tcp(stream) => stream.write_vectored(slices),
-            Stream::Virtual(end) => end.write(slices),
-        }
-    }
-
-    fn connected(&self) -> Result<bool, Reason> {
-        let stream = match self {
-            Stream::Tcp(stream) => stream,
-            Stream::Virtual(end) => return end.connected(),
-        };
-        match stream.take_error() {
-            Ok(None) => {}
-            // It did come up, and broke before it was looked at.
-            Ok(Some(error)) if error.kind() == io::ErrorKind::ConnectionReset => {
-                return Err(Reason::PeerReset)
-            }
-            Ok(Some(_)) | Err(_) => return Err(Reason::ConnectRefused),
-        }
-        match stream.peer_addr() {
-            Ok(_) => Ok(true),
-            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
-            Err(_) => Err(Reason::ConnectRefused),
-        }
-    }
-}
-
-/// A listener, of the system or of the simulator.
-#[derive(Debug)]
-pub enum Listener {
-    /// The system's.
-    Tcp(TcpListener),
-    /// The simulator's.
-    Virtual(fabric::Port),
-}
-
-impl Listener {
-    /// Its address.
-    ///
-    /// # Errors
-    ///
-    /// The system does not say.
-    pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        match self {
-            Listener::Tcp(listener) => listener.local_addr(),
-            Listener::Virtual(port) => Ok(port.addr()),
-        }
-    }
-
-    fn accept(&self) -> io::Result<(Stream, SocketAddr)> {
-        match self {
-            Listener::Tcp(listener) => listener.accept().map(|(stream, peer)| (Stream::Tcp(stream), peer)),
-            Listener::Virtual(port) => port.accept().map(|(end, peer)| (Stream::Virtual(end), peer)),
-        }
-    }
-}
-
 /// What tells what is ready.
 enum Poller {
     Mio { poll: Poll, events: Events },
--- /dev/null
+++ b/src/server/links.rs
@@ -0,0 +1,45 @@
+//! The second front, where there is one: its listener, and what its routes serve.
+
+use super::{listen, ServerError, LINKS};
+use crate::config::settings::Parsed;
+use crate::config::signed::Signed;
+use crate::config::Config;
+use crate::front::signed;
+use crate::interface::{ClassId, Micros};
+use crate::net::{Listener, Net};
+
+/// The second front, where there is one.
+pub(super) struct Links {
+    pub listener: Option<Listener>,
+    pub front: signed::Front,
+    /// Each route's class, and how long its answers are waited for.
+    pub classes: Vec<(ClassId, Micros)>,
+}
+
+impl Links {
+    pub(super) fn start(signed: Signed, config: &Config, net: &mut Net) -> Result<Self, ServerError> {
+        let classes = route_classes(&signed, &config.settings)?;
+        let listener = Some(listen(net, signed.listen, true, LINKS)?);
+        Ok(Links { listener, classes, front: signed::Front::new(signed) })
+    }
+}
+
+/// Each route's class, and how long its answers are waited for.
+///
+/// # Errors
+///
+/// A class that is unknown, or whose requests are never kept.
+pub fn route_classes(signed: &Signed, settings: &Parsed) -> Result<Vec<(ClassId, Micros)>, ServerError> {
+    let Parsed { names, settings } = settings;
+    let class = |route: &crate::config::signed::Route| {
+        let id = names.class(&route.class)?;
+        let class = settings.classes.get(usize::from(id.0)).filter(|class| !class.never_kept)?;
+        let patience = route.patience_ms.map_or(class.deadline, |ms| ms as Micros * 1000);
+        Some((id, patience))
+    };
+    let found = signed.routes.iter().map(|route| {
+        let bad = || ServerError::Route { path: route.path.clone(), class: route.class.clone() };
+        class(route).ok_or_else(bad)
+    });
+    found.collect()
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,36 +1,40 @@
 //! The edge proxy: one loop over sockets, deadlines and the core's commands. It ties fronts, upstream and
 //! feed to the core and translates between their words; it decides nothing about requests.
 
+mod accept;
 mod admit;
 mod federate;
 mod figures;
 mod handover;
 mod leave;
+mod links;
+mod list;
 mod reload;
+mod requests;
 mod translate;
 
 use crate::admission::AdmissionSettings;
-use crate::config::events::{Batch, Numbered};
 use crate::config::settings::Names;
-use crate::config::settings::Parsed;
 use crate::config::signed::Signed;
 use crate::config::{Config, ConfigError, Files};
-use crate::core::{self, Ask, Command, Core, Final, RequestKey};
-use crate::deadlines::{Deadlines, Schedule};
+use crate::core::{self, Command, Core, RequestKey};
+use crate::deadlines::Deadlines;
 use crate::feed::{self, Feed};
 use crate::front::admin;
-use crate::front::signed::{self, route::Place};
-use crate::front::thrift::{self, codec::Reply};
-use crate::interface::{ClassId, ListKind, Micros, ObjectId, Purge, ServerId, ServerState, Why};
+use crate::front::signed;
+use crate::front::thrift;
+use crate::interface::{ClassId, Micros, ServerId};
 use crate::members::Members;
 use crate::net::fabric::Fabric;
-use crate::net::{Clock, ConnKey, Listener, Net, Ready, Reason, Role};
+use crate::net::{Clock, ConnKey, Listener, Net, Ready};
 use crate::slots::Key;
 use crate::upstream::{self, Happening, Upstream};
-use crate::{GroupId, SettingsError};
+use crate::SettingsError;
 use bytes::Bytes;
 use federate::Tie;
 use handover::{Handover, NEWER, OLDER, PLACE};
+pub use links::route_classes;
+use links::Links;
 use reload::{Budget, Started};
 use signal_hook::consts::signal::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
@@ -39,7 +43,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
-use tracing::{info, warn};
+use tracing::info;
 
 /// The numbers under which the loop watches what is no connection.
 const LISTENER: usize = 0;
@@ -50,14 +54,8 @@
 /// The numbers under which the processes of one edge proxy watch each other: the older one, the newer one.
 pub const SIBLINGS: [usize; 2] = [OLDER, NEWER];
 
-/// A client counts its patience from its send; the request has been under way for about this long, us.
-const WAY: Micros = 12_000;
 /// The pause before connections are taken again when descriptors ran out, us.
 const ACCEPT_AGAIN: Micros = 50_000;
-/// Connections taken at a turn, and the pause before the next one, us: hundreds at once wait for each other and not
-/// the others for them.
-const ACCEPTS: usize = 32;
-const ACCEPT_NEXT: Micros = 1_000;
 
 /// Whose turn is first where several are ready at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -144,14 +142,6 @@
     body: Bytes,
 }
 
-/// The second front, where there is one.
-struct Links {
-    listener: Option<Listener>,
-    front: signed::Front,
-    /// Each route's class, and how long its answers are waited for.
-    classes: Vec<(ClassId, Micros)>,
-}
-
 /// The admin endpoint, where there is one.
 struct AdminEndpoint {
     listener: Listener,
@@ -481,72 +471,6 @@
         }
     }
 
-    fn accept(&mut self) {
-        for role in [Role::Thrift, Role::Signed] {
-            for taken in 0.. {
-                if taken == ACCEPTS {
-                    self.due.add(self.now + ACCEPT_NEXT, Due::Accept);
-                    break;
-                }
-                let Some(conn) = self.accept_one(role) else { break };
-                self.take_in(role, conn);
-            }
-        }
-    }
-
-    fn take_in(&mut self, role: Role, conn: ConnKey) {
-        if !self.has_room() {
-            self.net.close(self.now, conn, Reason::TooMany);
-        } else if !self.admit(role, conn, false) {
-            // refused, and answered so
-        } else if role == Role::Thrift {
-            self.thrift.open(self.now, conn, &mut self.due);
-        } else if let Some(links) = &mut self.links {
-            links.front.open(self.now, conn, &mut self.due);
-        }
-    }
-
-    /// Connections of clients that this process holds.
-    fn clients(&self) -> usize {
-        self.net.count(Role::Thrift) + self.net.count(Role::Signed)
-    }
-
-    /// Whether clients are within their budget, or one that is missed less than a new one could be ended.
-    fn has_room(&mut self) -> bool {
-        let clients = self.clients() + self.handover.clients();
-        let links = self.links.as_mut().map(|links| &mut links.front);
-        clients <= self.budget.clients
-            || self.thrift.evict(self.now, &mut self.net, &mut self.due)
-            || links.is_some_and(|front| front.evict(self.now, &mut self.net, &mut self.due))
-    }
-
-    fn accept_one(&mut self, role: Role) -> Option<ConnKey> {
-        match self.accept_raw(role) {
-            Ok(Err(())) => None,
-            Ok(Ok(conn)) => {
-                if role != Role::Admin {
-                    self.accept_worked();
-                }
-                conn
-            }
-            Err(error) => {
-                self.accept_failed(role, &error);
-                None
-            }
-        }
-    }
-
-    /// Takes the next connection of a role's listener; `Err(())` if there is no such listener.
-    fn accept_raw(&mut self, role: Role) -> io::Result<Result<Option<ConnKey>, ()>> {
-        let listener = match role {
-            Role::Thrift => self.listener.as_ref(),
-            Role::Admin => self.admin.as_ref().map(|admin| &admin.listener),
-            _ => self.links.as_ref().and_then(|links| links.listener.as_ref()),
-        };
-        let Some(listener) = listener else { return Ok(Err(())) };
-        self.net.accept(self.now, listener, role).map(Ok)
-    }
-
     /// Does what the core wants, and tells it what came of it, until both are quiet; writes no attempt.
     fn settle(&mut self) {
         while self.settle_once() {}
@@ -638,251 +562,8 @@
             Command::Log(line) => info!("module: {line}"),
         }
     }
-
-    /// A request's answer has begun.
-    fn over(&mut self, request: RequestKey) {
-        self.forget(request);
-        self.core.begun(self.now, request, &mut self.due);
-    }
-
-    /// Writes what answers of a second front's connection have their turn, each as it is at its first byte.
-    fn advance(&mut self, conn: ConnKey) {
-        let now = self.now;
-        while let Some(links) = &mut self.links {
-            let Some(number) = links.front.next(now, conn, &mut self.net, &mut self.due) else { break };
-            let request = Key::from_number(number);
-            let Some(answer) = self.core.answer_now(now, request) else { break };
-            let tags = self.waiting.get(&request).map(|waiting| &waiting.tags[..]).unwrap_or_default();
-            let answer = translate::answer(answer, tags, now);
-            if !links.front.begin(now, conn, answer, &mut self.net, &mut self.due) {
-                break;
-            }
-            self.over(request);
-        }
-        if self.links.as_ref().is_some_and(|links| links.front.has_more(conn)) {
-            self.read_links(conn);
-            return self.advance(conn);
-        }
-        if let Some(links) = &mut self.links {
-            links.front.finish(now, conn, &mut self.net, &mut self.due);
-            let gone = links.front.gone();
-            gone.into_iter().for_each(|number| self.gone(number));
-        }
-    }
-
-    fn read_links(&mut self, conn: ConnKey) {
-        let Some(links) = &mut self.links else { return };
-        let asks = links.front.ready(self.now, conn, &mut self.net, &mut self.due);
-        asks.into_iter().for_each(|ask| self.get(ask));
-    }
-
-    fn gone(&mut self, number: u64) {
-        let request = Key::from_number(number);
-        self.forget(request);
-        self.core.gone(self.now, request, &mut self.due);
-    }
-
-    fn wait(&mut self, request: RequestKey, waiting: Waiting) {
-        self.bodies += waiting.body.len();
-        self.ids.insert(waiting.trace.clone());
-        self.waiting.insert(request, waiting);
-    }
-
-    fn forget(&mut self, request: RequestKey) {
-        if let Some(waiting) = self.waiting.remove(&request) {
-            self.bodies -= waiting.body.len();
-            self.ids.remove(&waiting.trace);
-        }
-    }
-
-    /// Whether there is no room for another request: refused now, it does no harm.
-    fn is_full(&self, conn: ConnKey) -> bool {
-        let held = self.net.held() + self.core.held() + self.bodies;
-        self.budget.is_full(held, self.net.unwritten(conn)) || self.waiting.len() >= self.names.most_held
-    }
-
-    /// Hands in a request of the second front, which has checked its right.
-    fn get(&mut self, ask: signed::Ask) {
-        let signed::Ask::Get { conn, number, place, tags, expires } = ask;
-        let Place { route, object, group, part } = place;
-        let (full, now) = (self.is_full(conn), self.now);
-        let Some(links) = self.links.as_mut().filter(|links| links.front.is_open(conn, number)) else {
-            return;
-        };
-        let Some((class, patience)) = links.classes.get(route).copied() else { return };
-        if full {
-            let refused = Final::Refused { pause: self.core.pause(class), late: false, why: Why::Full };
-            self.core.count(class, &refused);
-            return links.front.say(conn, number, translate::answer(refused, &[], now));
-        }
-        let (object, group, expires) = (ObjectId(object), GroupId(group), Some(expires));
-        let ask = Ask { class, object, part, group, patience, expires };
-        let request = self.core.submit(now, ask, &mut self.due);
-        links.front.bind(conn, number, request.number());
-        // The servers know a request by an id that no other edge proxy's requests have.
-        let trace = format!("{:016x}", self.seed ^ request.number().rotate_left(32));
-        let (client, item, body) = (Client::Signed { conn }, format!("{:016x}", object.0), Bytes::new());
-        self.wait(request, Waiting { client, tags, class, trace, item, idempotency_key: None, body });
-    }
-
-    fn asked(&mut self, asks: Vec<thrift::Ask>) {
-        for ask in asks {
-            match ask {
-                thrift::Ask::Invoke { conn, seqid, fields, body } => {
-                    let class = translate::class(&fields, &self.names);
-                    if let Some(refused) = self.refused_call(conn, class) {
-                        let asks =
-                            self.thrift.answer(self.now, conn, seqid, refused, &mut self.net, &mut self.due);
-                        self.asked(asks);
-                    } else if self.thrift.is_open(conn, seqid) {
-                        let form = translate::form(&fields, &self.names).and_then(|form| match &form {
-                            _ if body.len() > thrift::MOST_BODY => Err("the body is too long".into()),
-                            form if self.ids.contains(&form.trace) => Err("trace is another's".into()),
-                            _ => Ok(form),
-                        });
-                        let class = translate::class(&fields, &self.names);
-                        self.invoke(conn, seqid, class, form, body);
-                    }
-                }
-                thrift::Ask::Over { conn, seqid, fields } => {
-                    let class = translate::class(&fields, &self.names);
-                    let refused = self.refused_call(conn, class).unwrap_or_else(|| self.refuse(class));
-                    self.say(conn, seqid, refused);
-                }
-                thrift::Ask::Ping { conn, seqid } => {
-                    if !self.admitting.refusing.contains_key(&conn) {
-                        self.in_good_standing(conn);
-                    }
-                    self.say(conn, seqid, Reply::Pong(self.takes_clients()));
-                }
-                thrift::Ask::Gone(number) => self.gone(number),
-            }
-        }
-    }
-
-    fn say(&mut self, conn: ConnKey, seqid: i32, reply: Reply) {
-        let asks = self.thrift.say(self.now, conn, seqid, reply, &mut self.net, &mut self.due);
-        self.asked(asks);
-    }
-
-    /// A refusal that the core does not hear of.
-    fn refuse(&mut self, class: Option<ClassId>) -> Reply {
-        let pause = self.core.pause(class.unwrap_or(ClassId(0)));
-        self.refusal(class, pause)
-    }
-
-    /// A refusal with this pause (us), counted for its class.
-    fn refusal(&mut self, class: Option<ClassId>, pause: Micros) -> Reply {
-        let refused = Final::Refused { pause, late: false, why: Why::Full };
-        class.into_iter().for_each(|class| self.core.count(class, &refused));
-        translate::reply(refused)
-    }
-
-    fn invoke(
-        &mut self,
-        conn: ConnKey,
-        seqid: i32,
-        class: Option<ClassId>,
-        form: Result<translate::Form, String>,
-        body: Bytes,
-    ) {
-        let refused = match form {
-            Err(text) => {
-                class.into_iter().for_each(|class| self.core.count(class, &Final::Failed { late: false }));
-                Err(Reply::Exception { name: "invoke".into(), kind: 7, text })
-            }
-            Ok(_) if self.is_full(conn) => Err(self.refuse(class)),
-            Ok(form) => Ok(form),
-        };
-        let form = match refused {
-            Ok(form) => form,
-            Err(reply) => {
-                let asks = self.thrift.answer(self.now, conn, seqid, reply, &mut self.net, &mut self.due);
-                return self.asked(asks);
-            }
-        };
-        self.in_good_standing(conn);
-        let translate::Form { class, object, part, group, patience, trace, item, seen, idempotency_key } =
-            form;
-        let patience = (patience - WAY).max(1);
-        let ask = Ask { class, object, part, group, patience, expires: None };
-        let request = self.core.submit(self.now, ask, &mut self.due);
-        self.thrift.bind(conn, seqid, request.number());
-        let (client, tags) = (Client::Thrift { conn, seqid }, Vec::from_iter(seen));
-        // A copy: a slice would keep the whole buffer that the frame came in.
-        let body = Bytes::copy_from_slice(&body);
-        self.wait(request, Waiting { client, tags, class, trace, item, idempotency_key, body });
-    }
-
-    /// Takes in events of the control feed, in their order.
-    fn news(&mut self, batch: Batch) {
-        for Numbered { n, members, purge } in batch.events {
-            if let Some(change) = members {
-                self.listed |= change.whole;
-                let mut entries: Vec<_> = Vec::with_capacity(change.hosts.len());
-                for host in &change.hosts {
-                    let member = self.members.member(host, &self.names);
-                    let id = member.server.0;
-                    match host.dial.filter(|_| member.state != ServerState::Gone) {
-                        Some(addr) => {
-                            let (now, since) = (self.now, member.up_since);
-                            self.upstream.set_host(now, id, addr, since, &mut self.net, &mut self.due);
-                        }
-                        None => self.upstream.remove_host(self.now, id, &mut self.net, &mut self.due),
-                    }
-                    info!("event {n}: {} is {:?}", host.host, host.health);
-                    entries.push(member);
-                }
-                let kind = if change.whole { ListKind::Full } else { ListKind::Delta };
-                let gone: Vec<ServerId> =
-                    entries.iter().filter(|m| m.state == ServerState::Gone).map(|m| m.server).collect();
-                self.core.members(self.now, kind, entries, &mut self.due);
-                gone.into_iter().for_each(|server| self.members.forget(server));
-            }
-            if let Some(purge) = purge {
-                let object = purge.key.as_deref().map(|key| u64::from_str_radix(key, 16));
-                let what = match (object, purge.group) {
-                    (Some(Ok(object)), _) => Purge::Object(ObjectId(object)),
-                    (None, Some(group)) => Purge::Group(GroupId(group)),
-                    _ => {
-                        warn!("event {n} purges nothing that can be read");
-                        continue;
-                    }
-                };
-                self.core.purge(self.now, what, (purge.at * 1000.0) as Micros, &mut self.due);
-            }
-        }
-    }
 }
 
 fn listen(net: &mut Net, addr: SocketAddr, shared: bool, number: usize) -> Result<Listener, ServerError> {
     net.listen(addr, shared, number).map_err(|error| ServerError::Listen { addr, error })
 }
-
-impl Links {
-    fn start(signed: Signed, config: &Config, net: &mut Net) -> Result<Self, ServerError> {
-        let classes = route_classes(&signed, &config.settings)?;
-        let listener = Some(listen(net, signed.listen, true, LINKS)?);
-        Ok(Links { listener, classes, front: signed::Front::new(signed) })
-    }
-}
-
-/// Each route's class, and how long its answers are waited for.
-///
-/// # Errors
-///
-/// A class that is unknown, or whose requests are never kept.
-pub fn route_classes(signed: &Signed, settings: &Parsed) -> Result<Vec<(ClassId, Micros)>, ServerError> {
-    let Parsed { names, settings } = settings;
-    let class = |route: &crate::config::signed::Route| {
-        let id = names.class(&route.class)?;
-        let class = settings.classes.get(usize::from(id.0)).filter(|class| !class.never_kept)?;
-        let patience = route.patience_ms.map_or(class.deadline, |ms| ms as Micros * 1000);
-        Some((id, patience))
-    };
-    let found = signed.routes.iter().map(|route| {
-        let bad = || ServerError::Route { path: route.path.clone(), class: route.class.clone() };
-        class(route).ok_or_else(bad)
-    });
-    found.collect()
-}
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,12 +1,15 @@
 //! Connections to table caches, parents and the origin: pooled, with many requests on each. A request is a
 //! numbered job here, which is worded only when its bytes can leave; a job once written never moves.
 
+mod connections;
 pub mod lines;
+mod pool;
 
-use crate::deadlines::{Handle, Schedule};
-use crate::net::{ConnKey, Net, Reason, Role};
-use lines::{Answer, Fetch, Reader};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::deadlines::Schedule;
+use crate::net::{ConnKey, Net, Reason};
+use lines::{Answer, Fetch};
+use pool::{Host, Job, Link, Place};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Bytes that are taken in at a time, besides those of the answer under way.
@@ -27,11 +30,6 @@
 /// A further connection is opened beside one that has this many reads: an answer that can't be read ends its
 /// connection and all that is open there, so not everything rides on one, and no write beside a read.
 const SPREAD: usize = 2;
-/// After a connection did not come up no further one is opened beside others for this long, us: a server that
-/// takes no more of them is not pressed.
-const REST: i64 = 1_000_000;
-/// A connection that is reset before it is up proves nothing of its server: it is tried anew this often.
-const TRIES: u32 = 2;
 /// Ids given up that a connection remembers.
 const GIVEN_UP: usize = 4096;
 /// Ids answered that a connection remembers, the newest: a second answer comes within some milliseconds, if one does.
@@ -39,12 +37,6 @@
 /// A write goes by a connection of its own that has stood this long, us: on one that is reset while new, or that its
 /// server gives up at the moment of its next use, it may have run and has failed.
 const PROVEN: i64 = 3_000;
-/// A connection for a write that is not needed any more is closed after this long, us.
-const RESTED: i64 = 250_000;
-/// The shortest idle time of servers that is believed, us; some close sooner than the settings say.
-const LEAST_IDLE: i64 = 300_000;
-/// The part of the servers' idle time after which an idle connection is closed from here: before the peer.
-const IDLE_PART: f64 = 0.6;
 
 /// What falls due for a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,101 +100,6 @@
     pub bytes: usize,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-enum Job {
-    Fetch(u64),
-    Probe(u64),
-}
-
-/// Where a job is: its server, its id on the wire, and its connection once it is written.
-struct Place {
-    host: u32,
-    lane: usize,
-    id: String,
-    link: Option<ConnKey>,
-    written: i64,
-    tally: Option<u16>,
-}
-
-struct Host {
-    addr: SocketAddr,
-    /// Its last start, as the list tells it.
-    since: Option<i64>,
-    lanes: [Lane; 2],
-    gone: bool,
-}
-
-/// Reads and writes each have connections of their own.
-#[derive(Default)]
-struct Lane {
-    links: Vec<ConnKey>,
-    queue: VecDeque<Job>,
-    rest_until: i64,
-    tries: u32,
-}
-
-impl Host {
-    fn links(&self) -> Vec<ConnKey> {
-        self.lanes.iter().flat_map(|lane| lane.links.iter().copied()).collect()
-    }
-
-    fn take_queue(&mut self) -> Vec<Job> {
-        self.lanes.iter_mut().flat_map(|lane| std::mem::take(&mut lane.queue)).collect()
-    }
-}
-
-struct Link {
-    host: u32,
-    lane: usize,
-    up: bool,
-    /// What is open there, by the id on the wire.
-    open: BTreeMap<String, Job>,
-    /// Ids that were given up there: a late answer may still come, so none of them is used there again.
-    given_up: BTreeSet<String>,
-    /// Ids that were answered there of late: a second answer must not be taken for one to a repeat.
-    answered: VecDeque<String>,
-    reader: Reader,
-    /// Since when something waits there with nothing heard.
-    waiting: Option<i64>,
-    unheard: u32,
-    /// When it came up, whether it has had a job, and since when nothing is open there.
-    since: i64,
-    used: bool,
-    rests: i64,
-    connect: Option<Handle>,
-    idle: Option<Handle>,
-    /// Hung while an answer has come in part.
-    part: Option<Handle>,
-    /// The tally of the job whose bytes are not all written yet.
-    tally: Option<u16>,
-}
-
-impl Link {
-    fn takes(&self, id: &str) -> bool {
-        let known = self.open.contains_key(id) || self.given_up.contains(id);
-        !known && self.answered.iter().all(|answered| answered != id)
-    }
-
-    /// Takes the job that an id is open for, which was answered.
-    fn answered(&mut self, id: &str) -> Option<Job> {
-        let job = self.open.remove(id)?;
-        if self.answered.len() == ANSWERED {
-            self.answered.pop_front();
-        }
-        self.answered.push_back(id.to_owned());
-        Some(job)
-    }
-
-    /// Whether a write may go there.
-    fn is_sure(&self, now: i64) -> bool {
-        self.since + PROVEN <= now && !self.used
-    }
-
-    fn silent(&self, now: i64) -> bool {
-        self.unheard >= UNHEARD || self.waiting.is_some_and(|since| now - since > SILENT)
-    }
-}
-
 /// The pool.
 pub struct Upstream {
     figures: Figures,
@@ -245,12 +142,6 @@
         self.figures = Figures { idle, ..figures };
     }
 
-    /// Closes idle connections while there are more than may be held.
-    pub fn trim(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
-        let over = net.count(Role::Upstream).saturating_sub(self.figures.most);
-        (0..over).for_each(|_| self.drop_idlest(now, net, due));
-    }
-
     /// What has happened since the last call.
     pub fn happened(&mut self) -> Vec<Happening> {
         std::mem::take(&mut self.happened)
@@ -351,16 +242,6 @@
         }
     }
 
-    /// Closes a server's idle connections.
-    pub fn close_idle(&mut self, now: i64, host: u32, net: &mut Net, due: &mut dyn Schedule<Due>) {
-        let links = self.hosts.get(&host).map(Host::links).unwrap_or_default();
-        for link in links {
-            if self.links.get(&link).is_some_and(|l| l.up && l.open.is_empty()) {
-                self.drop_link(now, link, Reason::Idle, net, due);
-            }
-        }
-    }
-
     /// Closes everything.
     pub fn stop(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
         for key in self.links.keys().copied().collect::<Vec<_>>() {
@@ -484,72 +365,6 @@
         self.written[tally] += 1;
     }
 
-    fn connect(
-        &mut self,
-        now: i64,
-        host: u32,
-        lane: usize,
-        net: &mut Net,
-        due: &mut dyn Schedule<Due>,
-    ) -> bool {
-        if net.count(Role::Upstream) >= self.figures.most {
-            self.drop_idlest(now, net, due);
-        }
-        let Some(known) = self.hosts.get_mut(&host) else { return false };
-        let room = net.count(Role::Upstream) < self.figures.most;
-        let connected = if room { net.connect(now, known.addr, Role::Upstream).ok() } else { None };
-        let Some(key) = connected else {
-            // For want of descriptors here: that says nothing of the server.
-            self.no_link(now, host, lane, Ending::Unsent);
-            return false;
-        };
-        known.lanes[lane].links.push(key);
-        let connect = Some(due.add(now + self.figures.connect_timeout, Due::Connect(key)));
-        let link = Link {
-            host,
-            lane,
-            up: false,
-            open: BTreeMap::new(),
-            given_up: BTreeSet::new(),
-            answered: VecDeque::new(),
-            reader: Reader::default(),
-            waiting: None,
-            unheard: 0,
-            since: now,
-            used: false,
-            rests: now,
-            connect,
-            idle: None,
-            part: None,
-            tally: None,
-        };
-        self.links.insert(key, link);
-        true
-    }
-
-    /// Closes the connection that has been idle longest, if one is.
-    fn drop_idlest(&mut self, now: i64, net: &mut Net, due: &mut dyn Schedule<Due>) {
-        let idle = self.links.iter().filter(|(_, link)| link.up && link.open.is_empty());
-        let idlest = idle.min_by_key(|(key, link)| (link.rests, **key)).map(|(key, _)| *key);
-        if let Some(key) = idlest {
-            self.drop_link(now, key, Reason::Evicted, net, due);
-        }
-    }
-
-    /// A connection failed to come up: what is queued ends unless another may still take it.
-    fn no_link(&mut self, now: i64, host: u32, lane: usize, ending: Ending) {
-        let Some(known) = self.hosts.get_mut(&host).map(|known| &mut known.lanes[lane]) else { return };
-        known.rest_until = now + REST;
-        let hope = |key: &ConnKey| {
-            self.links.get(key).is_some_and(|link| if link.up { !link.silent(now) } else { true })
-        };
-        if known.links.iter().any(hope) {
-            return;
-        }
-        let queue = std::mem::take(&mut known.queue);
-        queue.into_iter().for_each(|job| self.end(now, job, ending.clone()));
-    }
-
     /// A connection may be read from, or written to.
     pub fn ready(
         &mut self,
@@ -656,76 +471,6 @@
         }
     }
 
-    /// Looks after a connection on which nothing waits any more.
-    fn settle(&mut self, now: i64, key: ConnKey, net: &mut Net, due: &mut dyn Schedule<Due>) {
-        let Some(link) = self.links.get_mut(&key).filter(|link| link.open.is_empty() && link.up) else {
-            return;
-        };
-        if self.hosts.get(&link.host).is_none_or(|host| host.gone) {
-            return self.drop_link(now, key, Reason::Replaced, net, due);
-        }
-        if link.silent(now) {
-            return self.drop_link(now, key, Reason::Silent, net, due);
-        }
-        if link.lane == 1 && link.used {
-            return self.drop_link(now, key, Reason::Done, net, due);
-        }
-        link.waiting = None;
-        if link.idle.is_none() {
-            link.rests = now;
-            let idle = if link.lane == 1 { RESTED } else { (self.figures.idle as f64 * IDLE_PART) as i64 };
-            link.idle = Some(due.add(now + idle, Due::Idle(key)));
-        }
-    }
-
-    fn close_links(
-        &mut self,
-        now: i64,
-        host: u32,
-        reason: Reason,
-        net: &mut Net,
-        due: &mut dyn Schedule<Due>,
-    ) {
-        let links = self.hosts.get(&host).map(Host::links).unwrap_or_default();
-        links.into_iter().for_each(|link| self.drop_link(now, link, reason, net, due));
-    }
-
-    fn drop_link(
-        &mut self,
-        now: i64,
-        key: ConnKey,
-        reason: Reason,
-        net: &mut Net,
-        due: &mut dyn Schedule<Due>,
-    ) {
-        let Some(link) = self.links.remove(&key) else { return };
-        link.connect.into_iter().chain(link.idle).chain(link.part).for_each(|handle| due.remove(handle));
-        net.close(now, key, reason);
-        if reason == Reason::PeerClosed && link.up && link.open.is_empty() {
-            self.figures.idle = self.figures.idle.min((now - link.rests).max(LEAST_IDLE));
-        }
-        let mut again = false;
-        if let Some(host) = self.hosts.get_mut(&link.host) {
-            let lane = &mut host.lanes[link.lane];
-            lane.links.retain(|known| *known != key);
-            again = !link.up && reason == Reason::PeerReset && lane.tries < TRIES && !host.gone;
-            lane.tries += u32::from(again);
-            if host.gone && host.links().is_empty() {
-                self.hosts.remove(&link.host);
-            }
-        }
-        let mut open: Vec<Job> = link.open.into_values().collect();
-        open.sort_by_key(|job| match job {
-            Job::Fetch(number) | Job::Probe(number) => *number,
-        });
-        open.into_iter().for_each(|job| self.end(now, job, Ending::Reset));
-        if again {
-            self.connect(now, link.host, link.lane, net, due);
-        } else if !link.up {
-            self.no_link(now, link.host, link.lane, Ending::NotConnected);
-        }
-    }
-
     fn end(&mut self, now: i64, job: Job, ending: Ending) {
         let Some(Place { host, .. }) = self.jobs.remove(&job) else { return };
         self.happened.push(match job {
--- /dev/null
+++ b/src/upstream/pool.rs
@@ -0,0 +1,103 @@
+//! The pool's records: servers, their connections, and the jobs that wait or are open there.
+
+use super::lines::Reader;
+use super::{ANSWERED, PROVEN, SILENT, UNHEARD};
+use crate::deadlines::Handle;
+use crate::net::ConnKey;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(super) enum Job {
+    Fetch(u64),
+    Probe(u64),
+}
+
+/// Where a job is: its server, its id on the wire, and its connection once it is written.
+pub(super) struct Place {
+    pub host: u32,
+    pub lane: usize,
+    pub id: String,
+    pub link: Option<ConnKey>,
+    pub written: i64,
+    pub tally: Option<u16>,
+}
+
+pub(super) struct Host {
+    pub addr: SocketAddr,
+    /// Its last start, as the list tells it.
+    pub since: Option<i64>,
+    pub lanes: [Lane; 2],
+    pub gone: bool,
+}
+
+/// Reads and writes each have connections of their own.
+#[derive(Default)]
+pub(super) struct Lane {
+    pub links: Vec<ConnKey>,
+    pub queue: VecDeque<Job>,
+    pub rest_until: i64,
+    pub tries: u32,
+}
+
+impl Host {
+    pub(super) fn links(&self) -> Vec<ConnKey> {
+        self.lanes.iter().flat_map(|lane| lane.links.iter().copied()).collect()
+    }
+
+    pub(super) fn take_queue(&mut self) -> Vec<Job> {
+        self.lanes.iter_mut().flat_map(|lane| std::mem::take(&mut lane.queue)).collect()
+    }
+}
+
+pub(super) struct Link {
+    pub host: u32,
+    pub lane: usize,
+    pub up: bool,
+    /// What is open there, by the id on the wire.
+    pub open: BTreeMap<String, Job>,
+    /// Ids that were given up there: a late answer may still come, so none of them is used there again.
+    pub given_up: BTreeSet<String>,
+    /// Ids that were answered there of late: a second answer must not be taken for one to a repeat.
+    pub answered: VecDeque<String>,
+    pub reader: Reader,
+    /// Since when something waits there with nothing heard.
+    pub waiting: Option<i64>,
+    pub unheard: u32,
+    /// When it came up, whether it has had a job, and since when nothing is open there.
+    pub since: i64,
+    pub used: bool,
+    pub rests: i64,
+    pub connect: Option<Handle>,
+    pub idle: Option<Handle>,
+    /// Hung while an answer has come in part.
+    pub part: Option<Handle>,
+    /// The tally of the job whose bytes are not all written yet.
+    pub tally: Option<u16>,
+}
+
+impl Link {
+    pub(super) fn takes(&self, id: &str) -> bool {
+        let known = self.open.contains_key(id) || self.given_up.contains(id);
+        !known && self.answered.iter().all(|answered| answered != id)
+    }
+
+    /// Takes the job that an id is open for, which was answered.
+    pub(super) fn answered(&mut self, id: &str) -> Option<Job> {
+        let job = self.open.remove(id)?;
+        if self.answered.len() == ANSWERED {
+            self.answered.pop_front();
+        }
+        self.answered.push_back(id.to_owned());
+        Some(job)
+    }
+
+    /// Whether a write may go there.
+    pub(super) fn is_sure(&self, now: i64) -> bool {
+        self.since + PROVEN <= now && !self.used
+    }
+
+    pub(super) fn silent(&self, now: i64) -> bool {
+        self.unheard >= UNHEARD || self.waiting.is_some_and(|since| now - since > SILENT)
+    }
+}
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -1,3 +1,4 @@
+use super::connections::TRIES;
 use super::*;
 use crate::deadlines::Deadlines;
 
