--- a/src/federation/view.rs
+++ b/src/federation/view.rs
@@ -1,4 +1,4 @@
-//! What operators are told of the federation, as the door gives it in JSON.
+//! What operators are told of the federation, as the admin endpoint gives it in JSON.
 
 use super::MemberId;
 use serde::Serialize;
--- /dev/null
+++ b/src/feed/tests.rs
@@ -0,0 +1,61 @@
+//! Tests of `feed`.
+
+use super::*;
+
+/// Keeps the one deadline that the feed has.
+#[derive(Default)]
+struct Last(Option<(i64, Due)>);
+
+impl Schedule<Due> for Last {
+    fn add(&mut self, at: i64, what: Due) -> Handle {
+        self.0 = Some((at, what));
+        let mut some = crate::deadlines::Deadlines::<Due>::default();
+        some.add(at, what)
+    }
+
+    fn remove(&mut self, _: Handle) {
+        self.0 = None;
+    }
+}
+
+/// An address that takes connections and says nothing.
+fn mute() -> (std::net::TcpListener, SocketAddr) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    (listener, addr)
+}
+
+/// What a feed that stopped would have told counts as told 2 s after the wait it was asked for: by then
+/// it must have been asked again.
+#[test]
+fn a_feed_that_stops_is_asked_again_in_time() {
+    let ((_old, addr), mut net, mut due) = (mute(), Net::new().expect("a poll"), Last::default());
+    let mut feed = Feed::new(addr, 7);
+    feed.start(0, &mut net, &mut due);
+    feed.up = true;
+    feed.ask(0, &mut net, &mut due);
+    let (mut now, mut last) = (0, None);
+    while let Some((at, what)) = due.0.take() {
+        (now, last) = (at, Some(what));
+        if what == Due::Retry {
+            break;
+        }
+        feed.due(at, what, &mut net, &mut due);
+    }
+    assert!(last == Some(Due::Retry) && now + CONNECT < WAIT_MS * 1000 + TOLD_AFTER, "{last:?} at {now}");
+}
+
+#[test]
+fn it_moves_at_once_and_goes_on_after_its_last_event() {
+    let ((_old, addr), (_new, next)) = (mute(), mute());
+    let (mut net, mut due) = (Net::new().expect("a poll"), Last::default());
+    let mut feed = Feed::new(addr, 7);
+    feed.start(0, &mut net, &mut due);
+    let old = feed.conn;
+    feed.move_to(1, addr, &mut net, &mut due);
+    assert_eq!(feed.conn, old, "the same address is no move");
+    feed.move_to(2, next, &mut net, &mut due);
+    assert!(feed.conn != old && feed.conn.is_some());
+    assert_eq!((feed.addr, feed.last, net.count(Role::Feed)), (next, 7, 1));
+    assert_eq!(due.0, Some((2 + CONNECT, Due::Overdue)));
+}
--- a/src/front/admin.rs
+++ b/src/front/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' door: HTTP/1.1, one call per connection. Its callers hold a few descriptors of their own, so that
+//! The admin endpoint: HTTP/1.1, one call per connection. Its callers hold a few descriptors of their own, so that
 //! neither clients nor callers that sit on a connection keep an answer from the next.
 
 use super::http::{self, Bad};
@@ -188,35 +188,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn calls_are_read_byte_by_byte_as_the_table_says() {
-        let cases = [
-            ("GET /healthcheck HTTP/1.1\r\nHost: h\r\n\r\n", Ok(Some(Call::Healthcheck))),
-            ("GET /federation HTTP/1.1\r\n\r\n", Ok(Some(Call::Federation))),
-            ("GET /stats HTTP/1.0\r\n\r\n", Ok(Some(Call::Stats))),
-            ("GET /stats?all HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", Ok(Some(Call::Stats))),
-            ("GET / HTTP/1.1\r\nHost: h\r\n\r\n", Err(404)),
-            ("POST /stats HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", Err(405)),
-            ("GET /stats HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", Err(400)),
-            ("\u{1} /stats HTTP/1.1\r\n\r\n", Err(400)),
-            ("GET /stats HTTP/1.1\r\nHo", Ok(None)),
-        ];
-        for (text, wanted) in cases {
-            let (mut input, mut read) = (BytesMut::new(), Ok(None));
-            for byte in text.bytes() {
-                assert_eq!(read, Ok(None), "{text:?} is read at its end");
-                input.extend_from_slice(&[byte]);
-                read = call(&mut input);
-                if read.is_err() {
-                    break;
-                }
-            }
-            assert_eq!(read, wanted, "{text:?}");
-        }
-        let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(http::MOST_HEAD));
-        assert_eq!(call(&mut BytesMut::from(&long[..])), Err(431));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/front/admin/tests.rs
@@ -0,0 +1,32 @@
+//! Tests of `admin`.
+
+use super::*;
+
+#[test]
+fn calls_are_read_byte_by_byte_as_the_table_says() {
+    let cases = [
+        ("GET /healthcheck HTTP/1.1\r\nHost: h\r\n\r\n", Ok(Some(Call::Healthcheck))),
+        ("GET /federation HTTP/1.1\r\n\r\n", Ok(Some(Call::Federation))),
+        ("GET /stats HTTP/1.0\r\n\r\n", Ok(Some(Call::Stats))),
+        ("GET /stats?all HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", Ok(Some(Call::Stats))),
+        ("GET / HTTP/1.1\r\nHost: h\r\n\r\n", Err(404)),
+        ("POST /stats HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", Err(405)),
+        ("GET /stats HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", Err(400)),
+        ("\u{1} /stats HTTP/1.1\r\n\r\n", Err(400)),
+        ("GET /stats HTTP/1.1\r\nHo", Ok(None)),
+    ];
+    for (text, wanted) in cases {
+        let (mut input, mut read) = (BytesMut::new(), Ok(None));
+        for byte in text.bytes() {
+            assert_eq!(read, Ok(None), "{text:?} is read at its end");
+            input.extend_from_slice(&[byte]);
+            read = call(&mut input);
+            if read.is_err() {
+                break;
+            }
+        }
+        assert_eq!(read, wanted, "{text:?}");
+    }
+    let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(http::MOST_HEAD));
+    assert_eq!(call(&mut BytesMut::from(&long[..])), Err(431));
+}
--- /dev/null
+++ b/src/front/signed/http/tests.rs
@@ -0,0 +1,73 @@
+//! Tests of `http`.
+
+use super::*;
+
+fn read(text: &str) -> Result<Option<Head>, Bad> {
+    head(&mut BytesMut::from(text), "http")
+}
+
+#[test]
+fn requests_are_read_as_the_table_says() {
+    let cases = [
+        ("GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "GET http://h/a keep"),
+        ("HEAD /a HTTP/1.1\r\nHost: h\r\nConnection: Close\r\n\r\n", "HEAD http://h/a close"),
+        ("GET /a HTTP/1.0\r\nHost: h\r\n\r\n", "GET http://h/a close"),
+        ("GET /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", "GET http://h/a keep"),
+        ("GET http://o/b HTTP/1.1\r\nHost: h\r\n\r\n", "GET http://o/b keep"),
+        ("GET /a HTTP/1.1\r\nHost: h\r\nIf-None-Match: \"x\", W/\"y\"\r\n\r\n", "GET http://h/a keep x y"),
+        ("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", "GET http://h/a keep"),
+        ("POST /a HTTP/1.1\r\nHost: h\r\n\r\n", "Method { keep: true }"),
+        ("GET /a HTTP/1.1\r\n\r\n", "Malformed(\"host\")"),
+        ("GET /a HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n", "Malformed(\"host\")"),
+        ("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n", "Malformed(\"a body\")"),
+        ("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "Malformed(\"a body\")"),
+        ("GET /a?x=1&x=2 HTTP/1.1\r\nHost: h\r\n\r\n", "Malformed(\"a parameter comes twice\")"),
+        (
+            "GET /a HTTP/1.1\r\nHost: h\r\nCookie: URISigningPackage=a; URISigningPackage=b\r\n\r\n",
+            "Malformed(\"several credentials\")",
+        ),
+        ("nonsense\r\n\r\n", "Malformed(\"head\")"),
+        ("GET /a HTTP/1.1\r\nHo", "partial"),
+    ];
+    for (text, wanted) in cases {
+        for cut in (0..text.len()).filter(|_| !wanted.contains("head")) {
+            assert_eq!(read(&text[..cut]), Ok(None), "{text:?} cut at {cut}");
+        }
+        let got = match read(text) {
+            Ok(None) => "partial".into(),
+            Err(bad) => format!("{bad:?}"),
+            Ok(Some(head)) => {
+                let method = if head.only_head { "HEAD" } else { "GET" };
+                let keep = if head.keep { "keep" } else { "close" };
+                let tags: String = head.tags.iter().map(|tag| format!(" {tag}")).collect();
+                format!("{method} {} {keep}{tags}", head.uri)
+            }
+        };
+        assert_eq!(got, wanted, "{text:?}");
+    }
+    let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(MOST_HEAD));
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(65));
+    assert_eq!((read(&long), read(&many)), (Err(Bad::Oversize), Err(Bad::Oversize)));
+}
+
+#[test]
+fn answers_say_what_their_status_needs() {
+    let text = |given: Answer, only_head, keep| {
+        String::from_utf8(answer(&given, only_head, keep, 0).concat()).expect("text")
+    };
+    let served =
+        Answer { body: Bytes::from_static(b"hi"), tag: Some("t".into()), age: Some(3), ..Answer::bare(200) };
+    let date = "Date: Thu, 01 Jan 1970 00:00:00 GMT\r\n";
+    let kind = "Content-Type: application/octet-stream\r\nContent-Length: 2\r\n";
+    let head = format!("HTTP/1.1 200 OK\r\n{date}{kind}ETag: \"t\"\r\nAge: 3\r\n\r\n");
+    assert_eq!(text(served.clone(), false, true), format!("{head}hi"));
+    assert_eq!(text(served, true, true), head);
+    let none = "Cache-Control: no-store\r\nContent-Length: 0\r\n";
+    let refused = Answer { retry_after: Some(1), ..Answer::bare(503) };
+    let wanted = format!(
+        "HTTP/1.1 503 Service Unavailable\r\n{date}{none}Retry-After: 1\r\nConnection: close\r\n\r\n"
+    );
+    assert_eq!(text(refused, false, false), wanted);
+    let wanted = format!("HTTP/1.1 405 Method Not Allowed\r\n{date}{none}Allow: GET, HEAD\r\n\r\n");
+    assert_eq!(text(Answer::bare(405), false, true), wanted);
+}
--- /dev/null
+++ b/src/front/thrift/codec/tests.rs
@@ -0,0 +1,63 @@
+//! Tests of `codec`.
+
+use super::*;
+
+/// A message in bytes, its texts in quotes.
+fn bytes(parts: &[&str]) -> Bytes {
+    let part = |part: &&str| match part.strip_prefix('\'') {
+        Some(text) => text.as_bytes().to_vec(),
+        None => part.split(' ').map(|hex| u8::from_str_radix(hex, 16).expect("hex")).collect(),
+    };
+    parts.iter().flat_map(part).collect()
+}
+
+fn shown(bytes: &[u8]) -> String {
+    let plain = |b: &u8| b.is_ascii_alphanumeric() || *b == b' ';
+    bytes.iter().map(|b| if plain(b) { char::from(*b).into() } else { format!("<{b:02x}>") }).collect()
+}
+
+#[test]
+fn calls_are_read_as_the_table_says() {
+    let invoke = "80 01 00 01 00 00 00 06";
+    let abort = "80 01 00 04 00 00 00 05";
+    let map = "0d 00 01 0b 0b 00 00 00 01 00 00 00 01";
+    let cases: [&[&str]; 10] = [
+        &[
+            invoke,
+            "'invoke",
+            "00 00 00 07",
+            map,
+            "'a",
+            "00 00 00 01",
+            "'b",
+            "0b 00 02 00 00 00 01",
+            "'x",
+            "00",
+        ],
+        &[invoke, "'invoke", "00 00 00 07", "08 00 09 00 00 00 01", map, "'a", "00 00 00 01", "'b", "00"],
+        &[invoke, "'invoke", "00 00 00 07", "0d 00 01 0b 0b 7f ff ff ff", "00"],
+        &[invoke, "'invoke", "00 00 00 07", "0b 00 02 ff ff ff ff", "00"],
+        &[invoke, "'invoke", "00 00 00 07", map, "ff", "00 00 00 00", "00"],
+        &[abort, "'abort", "00 00 00 08", "08 00 01 00 00 00 07 00"],
+        &["80 01 00 01 00 00 00 04", "'ping", "00 00 00 09", "02 00 01 00 00"],
+        &["80 01 00 01 00 00 00 04", "'pong", "00 00 00 09", "00"],
+        &["00 00 00 04", "'ping", "01", "00 00 00 09", "00"],
+        &["80 01 00 02 00 00 00 04", "'ping", "00 00 00 09", "00"],
+    ];
+    let lines: Vec<String> = cases.iter().map(|parts| format!("{:?}", call(bytes(parts)))).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn replies_are_written_as_the_table_says() {
+    let cases = [
+        Reply::Answer { body: Bytes::from_static(b"body"), fields: vec![("current", "1".into())] },
+        Reply::Pong(true),
+        Reply::Refused { pause: 250 },
+        Reply::Refused { pause: 0 },
+        Reply::Failed,
+        Reply::Exception { name: "ping".into(), kind: 7, text: "why".into() },
+    ];
+    let lines: Vec<String> = cases.map(|given| shown(&reply(7, given).concat())).into();
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -41,7 +41,7 @@
     Thrift,
     /// A client of the second front.
     Signed,
-    /// A caller of the operators' door.
+    /// A caller of the admin endpoint.
     Admin,
     /// A table cache, a parent or the origin.
     Upstream,
--- a/src/server/admit.rs
+++ b/src/server/admit.rs
@@ -191,7 +191,7 @@
         }
     }
 
-    /// The figures of admission, for the operators' door.
+    /// The figures of admission, for the admin endpoint.
     pub(super) fn admission_figures(&self, line: &mut dyn FnMut(&str, u64)) {
         let counts = self.admitting.admission.counts();
         line("admission_admitted", counts.admitted);
--- a/src/sim/customers.rs
+++ b/src/sim/customers.rs
@@ -70,35 +70,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn half_of_the_plays_are_the_usual_site_and_every_difference_is_drawn() {
-        let usual = Customer::draw(0);
-        assert!((0..100).step_by(2).all(|seed| Customer::draw(seed) == usual));
-        let all: Vec<Customer> = (1..200).step_by(2).map(Customer::draw).collect();
-        let seen = |of: fn(&Customer) -> bool| all.iter().filter(|c| of(c)).count();
-        let counts = [
-            seen(|c| c.silent_weights),
-            seen(|c| c.no_pause),
-            seen(|c| c.one_at_a_time),
-            seen(|c| c.no_cancel),
-            seen(|c| c.no_notes),
-            seen(|c| c.no_direct),
-            seen(|c| c.few_attempts),
-            seen(|c| c.keyed_writes),
-        ];
-        assert!(counts.iter().all(|n| (10..90).contains(n)), "{counts:?}");
-    }
-
-    #[test]
-    fn silent_weights_hide_the_links() {
-        let (mut settings, mut hosts) = (json!({}), json!([{"share": 4.0}, {"share": 7.5}]));
-        Customer { silent_weights: true, ..Customer::draw(0) }.word(&mut settings, &mut hosts);
-        assert_eq!(
-            (settings["weights"].as_str(), hosts),
-            (Some("silent"), json!([{"share": 1.0}, {"share": 1.0}]))
-        );
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/trace/sample/tests.rs
@@ -0,0 +1,42 @@
+//! Tests of `sample`.
+
+use super::*;
+
+#[test]
+fn a_trace_that_fits_is_taken_whole_and_a_longer_one_by_slices() {
+    let whole = Slices::new(100, 199, 100, 5, 1);
+    assert_eq!(
+        (whole.played(100), whole.played(199), whole.played(200), whole.length()),
+        (Some(0), Some(99), None, 100)
+    );
+    let slices = Slices::new(1000, 100_999, 10_000, 10, 1);
+    assert_eq!((slices.count(), slices.length()), (10, 10_000));
+    let played: Vec<i64> = (0..101_000).filter_map(|at| slices.played(at)).collect();
+    assert_eq!(played, (0..10_000).collect::<Vec<_>>(), "each moment of the test once, in order");
+    assert_eq!(slices, Slices::new(1000, 100_999, 10_000, 10, 1));
+    assert_ne!(slices, Slices::new(1000, 100_999, 10_000, 10, 2));
+}
+
+/// A rate that rises tenfold and falls again: the sample keeps its mean, without thinning any moment of it.
+#[test]
+fn the_rate_is_not_bent() {
+    let mut worst: f64 = 0.0;
+    for seed in 0..20 {
+        let (mut rates, slices) = (Rates::default(), Slices::new(0, 3_600_000_000, 600_000_000, 20, seed));
+        let mut at = 0;
+        while at <= 3_600_000_000 {
+            let class = if at % 7 < 2 { "result" } else { "piece" };
+            *rates.all.entry(class.into()).or_default() += 1;
+            if slices.played(at).is_some() {
+                *rates.taken.entry(class.into()).or_default() += 1;
+            }
+            let part = at as f64 / 3.6e9;
+            at += 1_000_000 / (5.0 + 45.0 * (std::f64::consts::PI * part).sin()) as i64 + at % 3;
+        }
+        (rates.span, rates.played) = (3_600_000_000, slices.length());
+        let (told, sampled, error) = rates.errors()["all"];
+        assert!((sampled / told - 1.0 - error).abs() < 1e-9);
+        worst = worst.max(error.abs());
+    }
+    assert!(worst < 0.03, "{worst}");
+}
--- /dev/null
+++ b/src/upstream/lines/tests.rs
@@ -0,0 +1,76 @@
+//! Tests of `lines`.
+
+use super::*;
+
+fn read(bytes: &[u8], step: usize, room: usize) -> Result<Vec<Answer>, Bad> {
+    let (mut reader, mut input, mut all) = (Reader::default(), BytesMut::new(), Vec::new());
+    for part in bytes.chunks(step) {
+        input.extend_from_slice(part);
+        while let Some(answer) = reader.next(&mut input, room)? {
+            all.push(answer);
+        }
+    }
+    Ok(all)
+}
+
+#[test]
+fn answers_are_read_whole_however_they_come() {
+    let text = b"7 200 ver=a1,born=5,meter=inflight:7;x0:0.5 4\r\nab\r\n\r\n8 404 tell=not_there 0\r\n\r\n\
+            p1 alive\r\n9 304 ver=q 0\r\n";
+    for step in 1..text.len() {
+        let all = read(text, step, 100).expect("answers");
+        let words: Vec<&str> = all.iter().map(|a| a.word.as_str()).collect();
+        assert_eq!(words, ["200", "404", "alive", "304"], "in steps of {step}");
+        assert_eq!((&all[0].body[..], all[0].field("ver")), (&b"ab\r\n"[..], Some("a1")));
+        assert_eq!(all[0].load(&["rif".into(), "x0".into()]), [7.0, 0.5]);
+        assert_eq!((all[1].field("tell"), &all[2].id[..]), (Some("not_there"), "p1"));
+    }
+}
+
+#[test]
+fn what_has_no_room_is_let_go_and_the_next_answer_is_read() {
+    let all = read(b"1 200 - 6\r\nabcdef\r\n2 503 - 0\r\n", 3, 5).expect("answers");
+    assert_eq!((all[0].dropped, all[0].body.len(), &all[1].word[..]), (true, 0, "503"));
+}
+
+#[test]
+fn what_is_no_answer_is_bad() {
+    let long = [b"1 200 a=", &[b'x'; 5000][..]].concat();
+    let bad: [&[u8]; 9] = [
+        b"1\r\n",
+        b"1 20x - 0\r\n",
+        b"1 200 - 0\r\nab",
+        b"1 200 - x\r\n",
+        b"1 200 - 9999999999\r\n",
+        b"1 200 a 0\r\n",
+        b"1 200 - 0 5\r\n",
+        b"1 \xff - 0\r\n",
+        b"1 200 - 2\r\nabXX",
+    ];
+    for text in bad.into_iter().chain([&long[..]]) {
+        assert_eq!(read(text, 64, 100), Err(Bad), "{}", String::from_utf8_lossy(text));
+    }
+}
+
+#[test]
+fn a_request_names_only_what_is_said() {
+    let plain = Fetch { class: "piece".into(), item: "7f".into(), limit: 900, ..Fetch::default() };
+    let head = |fetch: &Fetch| String::from_utf8(fetch_head("5", fetch).to_vec()).expect("text");
+    assert_eq!(head(&plain), "fetch 5 cls=piece,item=7f,chunk=0,limit=900 0\r\n");
+    let full = Fetch {
+        chunk: 3,
+        from: Some("s-1".into()),
+        rank: 2,
+        oldest: 40,
+        share: true,
+        swr: true,
+        seen: Some("t4".into()),
+        idempotency_key: Some("k7".into()),
+        body: Bytes::from_static(b"xyz"),
+        ..plain.clone()
+    };
+    let fields = "chunk=3,limit=900,from=s-1,rank=2,oldest=40,mode=share+swr,nonce=k7,seen=t4";
+    assert_eq!(head(&full), format!("fetch 5 cls=piece,item=7f,{fields} 3\r\n"));
+    let hostile = Fetch { seen: Some("a,from=s-9 0\r\n".into()), ..plain.clone() };
+    assert_eq!(head(&hostile), head(&plain), "a tag never adds words to the line");
+}
--- a/tests/federation/log.rs
+++ b/tests/federation/log.rs
@@ -22,7 +22,7 @@
         assert!(view["committed"].as_u64() >= Some(before), "nothing is lost: {view}");
         assert_eq!(view["members"].as_array().map(Vec::len), Some(3));
     }
-    let figures = get(&rig.running[&1].proxy, rig.running[&1].door, "/stats").1;
+    let figures = get(&rig.running[&1].proxy, rig.running[&1].admin, "/stats").1;
     assert!(figures.contains("federation.members=3") && figures.contains("federation.halted=0"), "{figures}");
 }
 
@@ -122,10 +122,10 @@
     let old = rig.running.remove(&leader).expect("it runs");
     let file = rig.file(leader).display().to_string();
     let proxy = old.proxy.newer(&["--admin", "127.0.0.1:0", "--federation", &file]);
-    let door = address(&proxy.logged("operators are answered on "));
+    let admin = address(&proxy.logged("operators are answered on "));
     let listen = address(&proxy.logged("federation listens on "));
     old.proxy.logged("federation: left to a newer process");
-    let new = crate::rig::Running { proxy, door, listen };
+    let new = crate::rig::Running { proxy, admin, listen };
     rig.arrive(leader, &new);
     rig.running.insert(leader, new);
     let (_, term) = rig.leader(&[1, 2, 3]);
--- a/tests/federation/members.rs
+++ b/tests/federation/members.rs
@@ -148,9 +148,9 @@
             Some(bytes) => std::fs::write(&path, bytes).expect("written"),
             None => std::fs::remove_file(&path).expect("removed"),
         }
-        let (proxy, door) = rig.launch_only(3);
+        let (proxy, admin) = rig.launch_only(3);
         proxy.logged("this member takes no part; the edge proxy serves alone");
-        rig.running.insert(3, crate::rig::Running { proxy, door, listen: door });
+        rig.running.insert(3, crate::rig::Running { proxy, admin, listen: admin });
         let view = rig.view(3);
         assert!(view["halted"].is_string() && view["leader"] == 0, "{what}: {view}");
         rig.serves(3);
--- a/tests/federation/rig.rs
+++ b/tests/federation/rig.rs
@@ -16,7 +16,7 @@
 
 pub struct Running {
     pub proxy: Proxy,
-    pub door: SocketAddr,
+    pub admin: SocketAddr,
     /// Where it listens for members.
     pub listen: SocketAddr,
 }
@@ -119,8 +119,8 @@
         let name = format!("{}-{id}", self.name);
         let caches = [&self.caches[0], &self.caches[1]];
         let proxy = Proxy::start(&name, &caches, str::to_owned, &["--admin", "127.0.0.1:0"]);
-        let door = address(&proxy.logged("operators are answered on "));
-        self.running.insert(id, Running { proxy, door, listen: door });
+        let admin = address(&proxy.logged("operators are answered on "));
+        self.running.insert(id, Running { proxy, admin, listen: admin });
     }
 
     /// The others' relays lead to this process from now on.
@@ -133,9 +133,9 @@
     }
 
     fn launch(&self, id: u64) -> Running {
-        let (proxy, door) = self.launch_only(id);
+        let (proxy, admin) = self.launch_only(id);
         let listen = address(&proxy.logged("federation listens on "));
-        Running { proxy, door, listen }
+        Running { proxy, admin, listen }
     }
 
     /// Starts a member that may not come to listen.
@@ -144,9 +144,9 @@
         let file = self.file(id).display().to_string();
         let more = ["--admin", "127.0.0.1:0", "--federation", &file];
         let proxy = Proxy::start(&name, &[&self.caches[0], &self.caches[1]], str::to_owned, &more);
-        let door = proxy.logged("operators are answered on ");
-        let door = address(&door);
-        (proxy, door)
+        let admin = proxy.logged("operators are answered on ");
+        let admin = address(&admin);
+        (proxy, admin)
     }
 
     pub fn signal(&self, id: u64, signal: &str) {
@@ -169,12 +169,12 @@
 
     pub fn view(&self, id: u64) -> Value {
         let running = &self.running[&id];
-        let (status, body) = get(&running.proxy, running.door, "/federation");
+        let (status, body) = get(&running.proxy, running.admin, "/federation");
         assert_eq!(status, 200);
         serde_json::from_str(&body).expect("JSON")
     }
 
-    /// Asks a member's door until its view is as wanted.
+    /// Asks a member's admin endpoint until its view is as wanted.
     pub fn until(&self, id: u64, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
         let since = Instant::now();
         loop {
@@ -241,10 +241,10 @@
     }
 }
 
-/// What a door answers.
-pub fn get(proxy: &Proxy, door: SocketAddr, path: &str) -> (u16, String) {
-    let mut stream = proxy.connect(door);
-    write!(stream, "GET {path} HTTP/1.1\r\nHost: door\r\n\r\n").expect("written");
+/// What an admin endpoint answers.
+pub fn get(proxy: &Proxy, admin: SocketAddr, path: &str) -> (u16, String) {
+    let mut stream = proxy.connect(admin);
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: admin\r\n\r\n").expect("written");
     let mut answer = String::new();
     stream.read_to_string(&mut answer).expect("an answer, and the end of the connection");
     let status = answer.split(' ').nth(1).expect("a status").parse().expect("a number");
--- a/tests/sockets/operators.rs
+++ b/tests/sockets/operators.rs
@@ -1,4 +1,4 @@
-//! The operators' door: its calls and the figures.
+//! The admin endpoint: its calls and the figures.
 
 use crate::platform::{request, served, Client, Reply};
 use crate::stand_ins::*;
@@ -7,8 +7,8 @@
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 
-/// A proxy of one cache with a door, and the door's address.
-pub fn door(name: &str, change: impl Fn(&str) -> String) -> (Cache, Cache, Proxy, SocketAddr) {
+/// A proxy of one cache with an admin endpoint, and its address.
+pub fn admin(name: &str, change: impl Fn(&str) -> String) -> (Cache, Cache, Proxy, SocketAddr) {
     let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
     let opened = |text: &str| change(text).replacen('{', "{\"admin\":\"127.0.0.1:0\",", 1);
     let proxy = Proxy::start(name, &[&cache, &parent], opened, &[]);
@@ -27,7 +27,7 @@
 }
 
 pub fn get(proxy: &Proxy, addr: SocketAddr, path: &str) -> (u16, String) {
-    call(proxy, addr, &format!("GET {path} HTTP/1.1\r\nHost: door\r\n\r\n"))
+    call(proxy, addr, &format!("GET {path} HTTP/1.1\r\nHost: admin\r\n\r\n"))
 }
 
 pub fn stats(proxy: &Proxy, addr: SocketAddr) -> BTreeMap<String, u64> {
@@ -46,7 +46,7 @@
 
 #[test]
 fn each_final_answer_and_each_attempt_to_a_cache_counts_once() {
-    let (cache, parent, proxy, addr) = door("figures", str::to_owned);
+    let (cache, parent, proxy, addr) = admin("figures", str::to_owned);
     assert_eq!(get(&proxy, addr, "/healthcheck").0, 200);
     let mut client = Client::new(&proxy);
     client.send(&request(1, "replay"));
@@ -83,7 +83,7 @@
 
 #[test]
 fn callers_that_sit_on_connections_keep_no_answer_from_the_next() {
-    let (_cache, _parent, proxy, addr) = door("callers", str::to_owned);
+    let (_cache, _parent, proxy, addr) = admin("callers", str::to_owned);
     let sitting: Vec<_> = (0..40)
         .map(|i| {
             let mut stream = proxy.connect(addr);
@@ -101,7 +101,7 @@
 
 #[test]
 fn one_that_stops_says_no() {
-    let (cache, _parent, mut proxy, addr) = door("door-stops", str::to_owned);
+    let (cache, _parent, mut proxy, addr) = admin("admin-stops", str::to_owned);
     let mut client = Client::new(&proxy);
     client.send(&request(1, "replay"));
     let mut open = cache.next();
@@ -123,7 +123,7 @@
 }
 
 /// Drops `result`, adds `table`, makes `replay` a write, and leaves one attempt.
-fn retune(config: &mut Value) {
+fn change_settings(config: &mut Value) {
     let settings = &mut config["settings"];
     let mut table = settings["grades"][0].clone();
     table["name"] = "table".into();
@@ -135,11 +135,11 @@
 
 #[test]
 fn sighup_brings_new_classes_and_rules_and_what_is_open_keeps_its_own() {
-    let (cache, _parent, proxy, addr) = door("retune", str::to_owned);
+    let (cache, _parent, proxy, addr) = admin("reload", str::to_owned);
     let mut client = Client::new(&proxy);
     client.send(&request(1, "replay"));
     let mut open = cache.next();
-    edit(&proxy, retune);
+    edit(&proxy, change_settings);
     proxy.signal("-HUP");
     proxy.logged("reloaded: feed ");
     open.answer("500", "-", b"");
@@ -163,7 +163,7 @@
 
 #[test]
 fn a_broken_file_changes_nothing_and_counts_as_a_failure() {
-    let (cache, _parent, proxy, addr) = door("broken", str::to_owned);
+    let (cache, _parent, proxy, addr) = admin("broken", str::to_owned);
     let whole = std::cell::RefCell::new(String::new());
     proxy.rewrite(|text| {
         *whole.borrow_mut() = text.to_owned();
@@ -172,7 +172,7 @@
     let mut broken = vec![String::new(), whole.borrow()[..whole.borrow().len() / 2].to_owned()];
     let mut breaks = |change: &dyn Fn(&mut Value)| {
         let mut config: Value = serde_json::from_str(&whole.borrow()).expect("JSON");
-        retune(&mut config);
+        change_settings(&mut config);
         change(&mut config);
         broken.push(config.to_string());
     };
--- a/tests/sockets/stand_ins.rs
+++ b/tests/sockets/stand_ins.rs
@@ -240,7 +240,7 @@
         (path, feed)
     }
 
-    /// Starts a newer process beside this one: the same files, folder and addresses but for the door's.
+    /// Starts a newer process beside this one: the same files, folder and addresses but for the admin endpoint's.
     pub fn newer(&self, more: &[&str]) -> Self {
         let addr = self.addr.to_string();
         self.rewrite(|text| text.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{addr}\"")));
--- a/tests/sockets/upgrade.rs
+++ b/tests/sockets/upgrade.rs
@@ -1,6 +1,6 @@
 //! A newer process takes over from an older one under load.
 
-use crate::operators::{door, figures, get};
+use crate::operators::{admin, figures, get};
 use crate::platform::{request, served, Client};
 use crate::stand_ins::*;
 
@@ -15,7 +15,7 @@
 
 #[test]
 fn an_upgrade_answers_what_is_open_and_leaves_what_comes_to_the_newer_process() {
-    let (cache, _parent, mut old, _) = door("upgrade", str::to_owned);
+    let (cache, _parent, mut old, _) = admin("upgrade", str::to_owned);
     for round in 0..2 {
         let mut idle = ask(&old, &cache, 10);
         let mut half = ask(&old, &cache, 10);
@@ -57,7 +57,7 @@
 
 #[test]
 fn a_newer_process_that_ends_early_leaves_the_older_one_serving_and_to_be_found() {
-    let (cache, _parent, old, _) = door("early", str::to_owned);
+    let (cache, _parent, old, _) = admin("early", str::to_owned);
     let new = old.newer(&["--admin", "127.0.0.1:0"]);
     new.logged("operators are answered on ");
     old.logged("a newer process takes over");
@@ -75,7 +75,7 @@
 /// A place that a killed process left behind is no process.
 #[test]
 fn a_stale_place_is_taken() {
-    let (cache, _parent, mut old, _) = door("stale", str::to_owned);
+    let (cache, _parent, mut old, _) = admin("stale", str::to_owned);
     old.child.kill().expect("killed");
     old.child.wait().expect("an end");
     let new = old.newer(&["--admin", "127.0.0.1:0"]);
@@ -89,7 +89,7 @@
 
 #[test]
 fn one_that_leaves_and_loses_the_newer_process_still_answers_what_is_open() {
-    let (cache, _parent, mut old, _) = door("left-alone", str::to_owned);
+    let (cache, _parent, mut old, _) = admin("left-alone", str::to_owned);
     let mut busy = Client::new(&old);
     busy.send(&request(1, "result"));
     let mut open = cache.next();
