--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -13,8 +13,9 @@
 const WAIT_MS: i64 = 1000;
 /// How much later than that an answer may come, us.
 const SLACK: i64 = 700_000;
-/// How long a connection may take to come up, us.
+/// How long a connection may take to come up, us: at first, and at most once some took longer.
 const CONNECT: i64 = 400_000;
+const CONNECT_MOST: i64 = 1_600_000;
 /// The first and the longest pause before the next try, us.
 const PAUSES: [i64; 2] = [30_000, 500_000];
 /// What the feed would have told counts as told this long after a break, or after the end of the wait, us:
@@ -41,6 +42,8 @@
     up: bool,
     deadline: Option<Handle>,
     pause: i64,
+    /// How long the next connection may take to come up, us.
+    connect: i64,
     /// How long an answer may be held back, ms.
     wait: i64,
     /// Polls begun, and the newest one that was answered.
@@ -57,6 +60,7 @@
             up: false,
             deadline: None,
             pause: PAUSES[0],
+            connect: CONNECT,
             wait: WAIT_MS,
             polls: [0; 2],
         }
@@ -84,7 +88,7 @@
         match net.connect(now, self.addr, Role::Feed) {
             Ok(key) => {
                 (self.conn, self.up) = (Some(key), false);
-                self.expect(now + CONNECT, Due::Overdue, due);
+                self.expect(now + self.connect, Due::Overdue, due);
             }
             Err(_) => self.again(now, due),
         }
@@ -96,7 +100,7 @@
         if addr == self.addr {
             return;
         }
-        (self.addr, self.pause) = (addr, PAUSES[0]);
+        (self.addr, self.pause, self.connect) = (addr, PAUSES[0], CONNECT);
         if let Some(key) = self.conn.take() {
             net.close(now, key, Reason::Replaced);
         }
@@ -141,7 +145,7 @@
             match net.connected(key) {
                 Ok(false) => return news,
                 Ok(true) => {
-                    self.up = true;
+                    (self.up, self.connect) = (true, CONNECT);
                     self.ask(now, net, due);
                 }
                 Err(reason) => {
@@ -215,7 +219,11 @@
         match what {
             Due::Retry => self.start(now, net, due),
             Due::Overdue if self.up => self.broke(now, Reason::Silent, net, due),
-            Due::Overdue => self.broke(now, Reason::ConnectTimeout, net, due),
+            Due::Overdue => {
+                // A host that takes connections slowly would never be heard by a time that is always too short.
+                self.connect = (2 * self.connect).min(CONNECT_MOST);
+                self.broke(now, Reason::ConnectTimeout, net, due);
+            }
         }
     }
 }
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -59,3 +59,26 @@
     assert_eq!((feed.addr, feed.last, net.count(Role::Feed)), (next, 7, 1));
     assert_eq!(due.0, Some((2 + CONNECT, Due::Overdue)));
 }
+
+/// A feed whose connections come up late was given up each time, and never heard.
+#[test]
+fn a_connection_that_comes_up_late_is_waited_for_longer_each_time() {
+    let ((_old, addr), mut net, mut due) = (mute(), Net::new().expect("a poll"), Last::default());
+    let mut feed = Feed::new(addr, 7);
+    feed.start(0, &mut net, &mut due);
+    let (mut now, mut waits) = (0, Vec::new());
+    while waits.len() < 4 {
+        let (at, what) = due.0.take().expect("a deadline");
+        if what == Due::Overdue {
+            waits.push(at - now);
+        }
+        now = at;
+        feed.due(at, what, &mut net, &mut due);
+    }
+    assert_eq!(waits, [CONNECT, 2 * CONNECT, CONNECT_MOST, CONNECT_MOST]);
+    feed.start(now, &mut net, &mut due);
+    while feed.polls() == [0; 2] {
+        feed.ready(now, &mut net, &mut due);
+    }
+    assert_eq!(feed.connect, CONNECT, "one that came up is as quick as any");
+}
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -106,6 +106,7 @@
             lingers: None,
             shut_down: false,
             unreadable: None,
+            scanned: 0,
         };
         self.sessions.insert(conn, session);
     }
@@ -320,14 +321,13 @@
 
     fn read(&mut self, now: i64, conn: ConnKey, net: &mut Net, asks: &mut Vec<Ask>) -> Result<(), Reason> {
         let mut taken = 0;
-        if self.sessions.get(&conn).is_some_and(|session| session.paused.is_some()) {
-            return self.read_aborts(conn, net, asks);
-        }
         loop {
+            let Some(session) = self.sessions.get_mut(&conn) else { return Ok(()) };
             // Its next read comes with the write event that says that some bytes were taken.
-            if net.unwritten(conn) >= MOST_UNWRITTEN {
+            if session.paused.is_some() || net.unwritten(conn) >= MOST_UNWRITTEN {
                 return self.read_aborts(conn, net, asks);
             }
+            session.scanned = 0;
             let got = net.read(conn, MOST_FRAME + PREFIX)?;
             let mut rest = true;
             while taken < TURN {
@@ -362,8 +362,9 @@
     /// cancelled there, and is over at once. The bytes stay for when they have their turn.
     fn read_aborts(&mut self, conn: ConnKey, net: &mut Net, asks: &mut Vec<Ask>) -> Result<(), Reason> {
         let got = net.read(conn, MOST_FRAME + PREFIX)?;
-        let cancelled = net.input(conn, |input| aborts(input)).unwrap_or_default();
         if let Some(session) = self.sessions.get_mut(&conn) {
+            let scanned = &mut session.scanned;
+            let cancelled = net.input(conn, |input| aborts(input, scanned)).unwrap_or_default();
             let over = cancelled.into_iter().filter_map(|seqid| session.open.remove(&seqid)).flatten();
             asks.extend(over.map(Ask::Gone));
         }
@@ -531,18 +532,18 @@
     Ok(Some(input.split_to(length).freeze()))
 }
 
-/// The sequence numbers that the whole messages of what has come cancel.
-fn aborts(input: &[u8]) -> Vec<i32> {
-    let (mut cancelled, mut rest) = (Vec::new(), input);
-    while let Some(prefix) = rest.first_chunk::<PREFIX>() {
+/// The sequence numbers that the whole messages of what has come cancel, from those on that were not looked at before.
+fn aborts(input: &[u8], scanned: &mut usize) -> Vec<i32> {
+    let mut cancelled = Vec::new();
+    while let Some((prefix, rest)) = input.get(*scanned..).and_then(<[u8]>::split_first_chunk::<PREFIX>) {
         let length = usize::try_from(i32::from_be_bytes(*prefix)).unwrap_or(usize::MAX);
-        let Some(message) = length.checked_add(PREFIX).and_then(|end| rest.get(PREFIX..end)) else { break };
+        let Some(message) = rest.get(..length) else { break };
         if let Ok(codec::Call { method: Method::Abort(seqid), .. }) =
             codec::call(Bytes::copy_from_slice(message))
         {
             cancelled.push(seqid);
         }
-        rest = &rest[PREFIX + length..];
+        *scanned += PREFIX + length;
     }
     cancelled
 }
--- a/src/front/thrift/session.rs
+++ b/src/front/thrift/session.rs
@@ -31,6 +31,8 @@
     pub shut_down: bool,
     /// What came can't be read on from here: the connection ends for this once what is open there is answered.
     pub unreadable: Option<Reason>,
+    /// Bytes of unread messages that were looked through for cancellations already.
+    pub scanned: usize,
 }
 
 impl Session {
