--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -32,7 +32,10 @@
 const SPREAD: usize = 2;
 /// Ids given up that a connection remembers.
 const GIVEN_UP: usize = 4096;
-/// Ids answered that a connection remembers, the newest: a second answer comes within some milliseconds, if one does.
+/// A second answer comes within this long of the first, if one does, us: a repeat takes another connection until then,
+/// and not for longer, since connections are scarce.
+const SECOND_ANSWER: i64 = 50_000;
+/// Ids answered that a connection remembers at most.
 const ANSWERED: usize = 64;
 /// A write goes by a connection of its own that has stood this long, us: on one that is reset while new, or that its
 /// server gives up at the moment of its next use, it may have run and has failed.
@@ -284,7 +287,7 @@
         };
         let links = || known.links.iter().filter_map(|key| Some((*key, self.links.get(key)?)));
         let full = known.links.len() >= LINKS[lane];
-        let fits = |link: &Link| link.up && link.open.len() < self.figures.streams && link.takes(id);
+        let fits = |link: &Link| link.up && link.open.len() < self.figures.streams && link.takes(now, id);
         // Where there can't be more, writes share.
         let fits = |link: &Link| fits(link) && (lane == 0 || full || link.is_sure(now));
         let sound = |link: &Link| fits(link) && (full || !link.silent(now));
@@ -297,7 +300,7 @@
             let wanted = known.queue.len().div_ceil(self.figures.streams).min(LINKS[lane]);
             let soon = |link: &Link| lane == 1 && link.up && now < link.since + PROVEN;
             let held = links().any(|(_, link)| sound(link) || soon(link));
-            if full && links().all(|(_, link)| !link.takes(id) && lane == 0) {
+            if full && links().all(|(_, link)| !link.takes(now, id) && lane == 0) {
                 // One id on every connection there is: such a job must not stand before all others for good.
                 known.queue.pop_front();
                 self.end(now, job, Ending::Unsent);
@@ -430,7 +433,7 @@
             }
             for answer in answers {
                 // An id that is not open was given up: its answer came late.
-                match self.links.get_mut(&key).and_then(|link| link.answered(&answer.id)) {
+                match self.links.get_mut(&key).and_then(|link| link.answered(now, &answer.id)) {
                     Some(job) => self.end(now, job, Ending::Answer(answer)),
                     None => drop(answer),
                 }
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -1,7 +1,7 @@
 //! The pool's records: servers, their connections, and the jobs that wait or are open there.
 
 use super::lines::Reader;
-use super::{ANSWERED, PROVEN, SILENT, UNHEARD};
+use super::{ANSWERED, PROVEN, SECOND_ANSWER, SILENT, UNHEARD};
 use crate::deadlines::Handle;
 use crate::net::ConnKey;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -50,6 +50,12 @@
     }
 }
 
+/// An id that was answered on a connection, and when.
+pub(super) struct Answered {
+    pub at: i64,
+    pub id: String,
+}
+
 pub(super) struct Link {
     pub host: u32,
     pub lane: usize,
@@ -59,7 +65,7 @@
     /// Ids that were given up there: a late answer may still come, so none of them is used there again.
     pub given_up: BTreeSet<String>,
     /// Ids that were answered there of late: a second answer must not be taken for one to a repeat.
-    pub answered: VecDeque<String>,
+    pub answered: VecDeque<Answered>,
     pub reader: Reader,
     /// Since when something waits there with nothing heard.
     pub waiting: Option<i64>,
@@ -77,18 +83,20 @@
 }
 
 impl Link {
-    pub(super) fn takes(&self, id: &str) -> bool {
+    pub(super) fn takes(&self, now: i64, id: &str) -> bool {
         let known = self.open.contains_key(id) || self.given_up.contains(id);
-        !known && self.answered.iter().all(|answered| answered != id)
+        let may_repeat = |answered: &Answered| answered.id == id && now < answered.at + SECOND_ANSWER;
+        !known && !self.answered.iter().any(may_repeat)
     }
 
     /// Takes the job that an id is open for, which was answered.
-    pub(super) fn answered(&mut self, id: &str) -> Option<Job> {
+    pub(super) fn answered(&mut self, now: i64, id: &str) -> Option<Job> {
         let job = self.open.remove(id)?;
-        if self.answered.len() == ANSWERED {
+        let is_over = |first: &Answered| first.at + SECOND_ANSWER <= now;
+        while self.answered.len() == ANSWERED || self.answered.front().is_some_and(is_over) {
             self.answered.pop_front();
         }
-        self.answered.push_back(id.to_owned());
+        self.answered.push_back(Answered { at: now, id: id.to_owned() });
         Some(job)
     }
 
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -164,6 +164,8 @@
     pool.dispatch();
     assert!(pool.upstream.jobs[&Job::Fetch(8)].link.is_none(), "not on this connection");
     assert_eq!(pool.upstream.links.len(), 2, "but on a further one");
+    assert!(!pool.upstream.links[&key].takes(SECOND_ANSWER - 1, "a"));
+    assert!(pool.upstream.links[&key].takes(SECOND_ANSWER, "a"), "by then none comes any more");
 }
 
 /// A write on a connection whose server has closed it already would have failed as one that may have run.
