--- a/review/standin/bad_clients.rs
+++ b/review/standin/bad_clients.rs
@@ -8,53 +8,51 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Sends `at_once` requests without a credential to the signed front at once, and the same again as soon as they are
-/// turned away, for a time. Returns the number of answers.
-pub fn ask_signed_front_again_and_again(
+/// Sends `at_once` requests without a credential to the signed front at once, and again, at full speed for a time. Reads
+/// whatever is sent to it. Returns the number of answers.
+pub fn flood_signed_front(
     addr: SocketAddr,
     at_once: usize,
     during: Duration,
     record: &Record,
 ) -> std::io::Result<usize> {
     const REQUEST: &[u8] = b"GET /replays/1/0123456789abcdef/0 HTTP/1.1\r\nHost: replays.example.org\r\n\r\n";
-    const ANSWER_END: &[u8] = b"\r\n\r\n"; // an answer that turns a request away has no body
     let mut stream = TcpStream::connect(addr)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(during))?;
-    stream.write_all(&REQUEST.repeat(at_once))?;
-    record.say(format!("bad client: sent {at_once} requests at once"));
-    let (mut answers, mut matched, mut buffer) = (0, 0, vec![0; 1 << 20]);
+    let reading = stream.try_clone()?;
+    reading.set_read_timeout(Some(during))?;
+    let reader = thread::spawn(move || count_answers(reading));
     let until = Instant::now() + during;
+    let batch = REQUEST.repeat(at_once);
+    record.say(format!("bad client: connected, sends {at_once} requests at once, again and again"));
+    stream.set_write_timeout(Some(during))?;
     while Instant::now() < until {
-        let count = match stream.read(&mut buffer) {
-            Ok(0) => {
-                record.say(format!("bad client: its connection was closed after {answers} answers"));
-                return Ok(answers);
-            }
-            Ok(count) => count,
-            Err(error) => {
-                record.say(format!("bad client: {error} after {answers} answers"));
-                return Ok(answers);
-            }
-        };
-        let mut turned_away = 0;
+        if let Err(error) = stream.write_all(&batch) {
+            record.say(format!("bad client: {error}"));
+            break;
+        }
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+    let answers = reader.join().unwrap_or(0);
+    record.say(format!("bad client: leaves after {answers} answers"));
+    Ok(answers)
+}
+
+/// Reads to the end of a connection, and counts the answers, which have no bodies.
+fn count_answers(mut stream: TcpStream) -> usize {
+    const ANSWER_END: &[u8] = b"\r\n\r\n";
+    let (mut answers, mut matched, mut buffer) = (0, 0, vec![0; 1 << 20]);
+    while let Ok(count @ 1..) = stream.read(&mut buffer) {
         for byte in &buffer[..count] {
             matched = match *byte == ANSWER_END[matched] {
                 true => matched + 1,
                 false => usize::from(*byte == ANSWER_END[0]),
             };
             if matched == ANSWER_END.len() {
-                (matched, turned_away) = (0, turned_away + 1);
+                (matched, answers) = (0, answers + 1);
             }
         }
-        answers += turned_away;
-        if stream.write_all(&REQUEST.repeat(turned_away)).is_err() {
-            record.say(format!("bad client: its connection was reset after {answers} answers"));
-            return Ok(answers);
-        }
     }
-    record.say(format!("bad client: leaves after {answers} answers"));
-    Ok(answers)
+    answers
 }
 
 /// Connects many times and sends on each connection a message that is shorter than its length says, in pieces; then
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -89,7 +89,7 @@
     let clients = start_clients(4, &usual_demand(4000), &proxy, &requests, until, record);
     thread::sleep(2 * SECOND);
     if has_trouble {
-        bad_clients::ask_signed_front_again_and_again(signed, 500, 8 * SECOND, record)?;
+        bad_clients::flood_signed_front(signed, 500, 8 * SECOND, record)?;
     }
     clients.into_iter().for_each(|client| drop(client.join()));
     Ok(judge(&mut proxy, &requests, record))
