--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,9 +1,10 @@
-//! The cases.
+//! The cases, and two trials of the control feed that the report tells of.
 
 use crate::bad_clients;
 use crate::client::{Client, Demand, Requests};
 use crate::platform::{describe, free_address, host_entry, Folder, Proxy, Settings, Site};
 use crate::record::Record;
+use crate::server::{Arrival, Server};
 use crate::{CaseError, Verdict};
 use std::path::Path;
 use std::thread::{self, JoinHandle};
@@ -20,7 +21,8 @@
         "signed-pipeline" => signed_pipeline(&record, has_trouble),
         "memory" => memory(&record, has_trouble),
         "crowded-stop" => crowded_stop(&record, has_trouble),
-        "slow-feed" => slow_feed(&record, has_trouble),
+        "slow-feed" => drain_under(FeedTrouble::Slow, &record, has_trouble),
+        "feed-outage" => drain_under(FeedTrouble::Outage, &record, has_trouble),
         _ => return Err(format!("no case {case}").into()),
     };
     match &broken {
@@ -164,12 +166,24 @@
     Ok(lost.iter().take(5).map(|line| format!("lost: {line}")).collect())
 }
 
-fn slow_feed(record: &Record, has_trouble: bool) -> Result<Vec<String>, CaseError> {
-    /// Nothing new to a table cache later than this after the edge proxy was told that it drains.
-    const DRAIN_GRACE: Duration = Duration::from_millis(1000 + 50);
-    /// Whatever the control feed has to tell counts as told this much later at the latest.
-    const TOLD_AFTER: Duration = Duration::from_secs(7);
-    const LATENESS: Duration = Duration::from_millis(2000);
+/// A disruption of the control feed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum FeedTrouble {
+    /// Each answer comes 2 s later than it is due, until the end.
+    Slow,
+    /// The feed is down for 8 s.
+    Outage,
+}
+
+/// Nothing new to a table cache later than this after the edge proxy was told that it drains.
+const DRAIN_GRACE: Duration = Duration::from_millis(1000 + 50);
+/// Whatever the control feed has to tell counts as told this much later at the latest.
+const TOLD_AFTER: Duration = Duration::from_secs(7);
+const LATENESS: Duration = Duration::from_secs(2);
+const OUTAGE: Duration = Duration::from_secs(8);
+
+/// A table cache begins to drain just after the disruption of the control feed has begun.
+fn drain_under(trouble: FeedTrouble, record: &Record, has_trouble: bool) -> Result<Vec<String>, CaseError> {
     let folder = Folder::new()?;
     let site = Site::start(record, 20 * MS, 4000)?;
     let listen = free_address()?;
@@ -179,36 +193,43 @@
     let until = record.elapsed() + 16 * SECOND;
     let clients = start_clients(4, &usual_demand(4000), &proxy, &requests, until, record);
     thread::sleep(2 * SECOND);
-    if has_trouble {
-        record.say(format!("feed: slow from now on, each answer is {LATENESS:?} late"));
-        site.feed.set_lateness(LATENESS);
+    let began = record.elapsed();
+    match trouble {
+        _ if !has_trouble => {}
+        FeedTrouble::Slow => site.feed.set_lateness(LATENESS),
+        FeedTrouble::Outage => site.feed.set_down(true),
     }
-    thread::sleep(SECOND);
+    thread::sleep(50 * MS);
     let drained = &site.caches[0];
-    site.feed.publish(&format!(
-        "\"members\":{{\"seq\":2,\"whole\":false,\"hosts\":[{}]}}",
-        host_entry(drained, "draining")
-    ));
+    let entry = host_entry(drained, "draining");
+    site.feed.publish(&format!("\"members\":{{\"seq\":2,\"whole\":false,\"hosts\":[{entry}]}}"));
     let told_at = record.elapsed() + TOLD_AFTER;
     record.say(format!("feed: {} drains; counts as told at {} ms", drained.name, told_at.as_millis()));
+    if trouble == FeedTrouble::Outage {
+        thread::sleep((began + OUTAGE).saturating_sub(record.elapsed()));
+        site.feed.set_down(false);
+    }
     clients.into_iter().for_each(|client| drop(client.join()));
-    let bound = told_at + DRAIN_GRACE;
     let mut broken = judge(&mut proxy, &requests, record);
     for server in site.servers() {
-        let arrivals = server.arrivals.lock().map_err(|_| "a thread has panicked")?;
-        let to_drained = |arrival: &&crate::server::Arrival| {
-            server.name == drained.name || arrival.field("from") == Some(&drained.name)
-        };
-        let late: Vec<_> = arrivals.iter().filter(to_drained).filter(|arrival| arrival.at > bound).collect();
-        if let (Some(first), Some(last)) = (late.first(), late.last()) {
-            broken.push(format!(
-                "drain: {} requests at {} name the draining cache as server or source, from {} to {} ms",
-                late.len(),
-                server.name,
-                first.at.as_millis(),
-                last.at.as_millis()
-            ));
-        }
+        broken.extend(sent_after(told_at + DRAIN_GRACE, drained, server)?);
     }
     Ok(broken)
 }
+
+/// Describes the requests at `server` after a time that name `drained` as server or source, if there are any.
+fn sent_after(bound: Duration, drained: &Server, server: &Server) -> Result<Option<String>, CaseError> {
+    let arrivals = server.arrivals.lock().map_err(|_| "a thread has panicked")?;
+    let names_drained =
+        |arrival: &&Arrival| server.name == drained.name || arrival.field("from") == Some(&drained.name);
+    let late: Vec<_> = arrivals.iter().filter(names_drained).filter(|arrival| arrival.at > bound).collect();
+    let (Some(first), Some(last)) = (late.first(), late.last()) else { return Ok(None) };
+    Ok(Some(format!(
+        "drain: {} requests at {} from {} to {} ms, the bound is {} ms",
+        late.len(),
+        server.name,
+        first.at.as_millis(),
+        last.at.as_millis(),
+        bound.as_millis()
+    )))
+}
--- a/review/standin/feed.rs
+++ b/review/standin/feed.rs
@@ -12,7 +12,8 @@
     events: Vec<String>,
     /// How much later than it is due each answer is sent.
     lateness: Duration,
-    is_closed: bool,
+    /// Whether connections are ended at once.
+    is_down: bool,
 }
 
 #[derive(Clone)]
@@ -48,12 +49,21 @@
         self.state.0.lock().expect("no thread panics").lateness = lateness;
     }
 
+    /// Ends all connections and each new one at once, or serves again.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.0.lock().expect("no thread panics").is_down = is_down;
+        self.state.1.notify_all();
+    }
+
     /// Returns the events after a number, in the form of an answer and of `known`.
     pub fn events_after(&self, number: usize) -> String {
         batch(&self.state.0.lock().expect("no thread panics"), number)
     }
 
     fn serve(&self, mut stream: TcpStream, record: &Record) -> Option<()> {
+        if self.state.0.lock().ok()?.is_down {
+            return None;
+        }
         stream.set_nodelay(true).ok()?;
         let peer = stream.peer_addr().ok()?;
         let mut reader = BufReader::new(stream.try_clone().ok()?);
@@ -74,13 +84,16 @@
             let until = Instant::now() + wait;
             let (lock, changed) = &*self.state;
             let mut state = lock.lock().ok()?;
-            while state.events.len() <= after && !state.is_closed {
+            while state.events.len() <= after && !state.is_down {
                 let left = until.saturating_duration_since(Instant::now());
                 if left.is_zero() {
                     break;
                 }
                 state = changed.wait_timeout(state, left).ok()?.0;
             }
+            if state.is_down {
+                return None;
+            }
             let lateness = state.lateness;
             drop(state);
             thread::sleep(lateness);
