Review case 2: noise without an end from table caches makes requests late for ever

Cause: blank lines between answers are skipped without a bound, on a connection that neither stalls nor counts as silent.

The case on memory is review/3 now; the one on a shutdown under bad clients gave its place and stays as a trial (standin crowded-stop).

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/dahliatrack target/review/standin; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/review/standin crowded-stop review/3
+exec target/review/standin memory review/3
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,4 +1,4 @@
-//! The cases, and two trials of the control feed that the report tells of.
+//! The cases, and three trials that the report tells of.
 
 use crate::bad_clients;
 use crate::client::{Client, Demand, Requests};
@@ -7,6 +7,7 @@
 use crate::server::{Arrival, Server};
 use crate::{CaseError, Verdict};
 use std::path::Path;
+use std::sync::atomic::Ordering;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
     record.say(format!("case {case}, {} the disruption", if has_trouble { "with" } else { "without" }));
     let broken = match case {
         "signed-pipeline" => signed_pipeline(&record, has_trouble),
+        "endless-noise" => endless_noise(&record, has_trouble),
         "memory" => memory(&record, has_trouble),
         "crowded-stop" => crowded_stop(&record, has_trouble),
         "slow-feed" => drain_under(FeedTrouble::Slow, &record, has_trouble),
@@ -233,3 +235,22 @@
         bound.as_millis()
     )))
 }
+
+/// Some answers of all servers arrive as noise that never ends.
+fn endless_noise(record: &Record, has_trouble: bool) -> Result<Vec<String>, CaseError> {
+    const SPOILT_EVERY: usize = 50;
+    let folder = Folder::new()?;
+    let site = Site::start(record, 50 * MS, 4000)?;
+    let listen = free_address()?;
+    let config = site.config(&Settings { listen, memory_mb: 192, sockets: 1024 });
+    let mut proxy = Proxy::start(&folder, &config, listen, &[], record)?;
+    let requests = Requests::default();
+    let until = record.elapsed() + 15 * SECOND;
+    let clients = start_clients(8, &usual_demand(4000), &proxy, &requests, until, record);
+    thread::sleep(2 * SECOND);
+    if has_trouble {
+        site.servers().for_each(|server| server.spoilt_every.store(SPOILT_EVERY, Ordering::Relaxed));
+    }
+    clients.into_iter().for_each(|client| drop(client.join()));
+    Ok(judge(&mut proxy, &requests, record))
+}
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeSet, BinaryHeap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -63,6 +64,8 @@
     pub name: String,
     pub addr: SocketAddr,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// Every how manieth answer arrives spoilt, as noise that never ends; 0: none.
+    pub spoilt_every: Arc<AtomicUsize>,
 }
 
 type Queue = Arc<(Mutex<BinaryHeap<Due>>, Condvar)>;
@@ -76,7 +79,12 @@
         record: &Record,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let server = Server { name: name.to_owned(), addr: listener.local_addr()?, arrivals: Arc::default() };
+        let server = Server {
+            name: name.to_owned(),
+            addr: listener.local_addr()?,
+            arrivals: Arc::default(),
+            spoilt_every: Arc::default(),
+        };
         let queue: Queue = Arc::default();
         let answering = Arc::clone(&queue);
         thread::spawn(move || answer_when_due(&answering));
@@ -119,7 +127,18 @@
                     };
                     record.add(format!("{} got {}", self.name, line.trim_end()));
                     let answer = answer_to(&arrival, length);
-                    self.arrivals.lock().ok()?.push(arrival);
+                    let count = {
+                        let mut arrivals = self.arrivals.lock().ok()?;
+                        arrivals.push(arrival);
+                        arrivals.len()
+                    };
+                    let spoilt_every = self.spoilt_every.load(Ordering::Relaxed);
+                    if spoilt_every > 0 && count % spoilt_every == 0 {
+                        record.add(format!("{} answers {id} with noise that never ends", self.name));
+                        let connection = Arc::clone(&connection);
+                        thread::spawn(move || send_noise(&connection));
+                        continue;
+                    }
                     let at = Instant::now() + service_time;
                     let due = Due { at, id: id.to_owned(), connection: Arc::clone(&connection), answer };
                     queue.0.lock().ok()?.push(due);
@@ -153,6 +172,14 @@
     answer
 }
 
+/// Sends blank lines until the connection ends.
+fn send_noise(connection: &Connection) {
+    let noise = b"\r\n".repeat(32 * 1024);
+    if let Ok(mut stream) = connection.stream.lock() {
+        while stream.write_all(&noise).is_ok() {}
+    }
+}
+
 fn answer_when_due(queue: &Queue) -> Option<()> {
     let mut due = queue.0.lock().ok()?;
     loop {
@@ -163,8 +190,10 @@
             Some(_) => {
                 let Some(first) = due.pop() else { continue };
                 if !first.connection.given_up.lock().ok()?.remove(&first.id) {
-                    // A connection that has ended takes no answer.
-                    let _ = first.connection.stream.lock().ok()?.write_all(&first.answer);
+                    // A connection that has ended takes no answer, nor does one on which noise is sent.
+                    if let Ok(mut stream) = first.connection.stream.try_lock() {
+                        let _ = stream.write_all(&first.answer);
+                    }
                 }
             }
         }
