--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -236,7 +236,7 @@
     )))
 }
 
-/// Some answers of all servers arrive as noise that never ends.
+/// Some answers of all table caches arrive as noise that never ends.
 fn endless_noise(record: &Record, has_trouble: bool) -> Result<Vec<String>, CaseError> {
     const SPOILT_EVERY: usize = 50;
     let folder = Folder::new()?;
@@ -249,7 +249,7 @@
     let clients = start_clients(8, &usual_demand(4000), &proxy, &requests, until, record);
     thread::sleep(2 * SECOND);
     if has_trouble {
-        site.servers().for_each(|server| server.spoilt_every.store(SPOILT_EVERY, Ordering::Relaxed));
+        site.caches.iter().for_each(|cache| cache.spoilt_every.store(SPOILT_EVERY, Ordering::Relaxed));
     }
     clients.into_iter().for_each(|client| drop(client.join()));
     Ok(judge(&mut proxy, &requests, record))
