Signed front: read pipelined requests in turns, so that one client cannot stop the process

Cause: Server::write_signed_answers read the connection again while it had unread requests, and called itself. Requests that the front answers by itself were answered within the call, so that it returned only when the client's bytes ran out.

A shutdown waits for queued connections of this front.

--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -26,7 +26,7 @@
 use crate::config::signed::SignedConfig;
 use crate::deadlines::Schedule;
 use crate::interface::{Instant, Span};
-use crate::net::{ConnectionKey, Net};
+use crate::net::{ConnectionKey, Net, ReadQueue};
 use credentials::Keyring;
 use session::{RequestState, Session};
 
@@ -71,6 +71,8 @@
     keyring: Keyring,
     sessions: Sessions<Session>,
     cancelled: Vec<RequestHandle>,
+    /// Connections whose unread requests can be read now, since some of those before them are answered.
+    unread: ReadQueue,
     /// Whether each connection closes after its next answers, as the process shuts down.
     is_draining: bool,
 }
@@ -83,6 +85,7 @@
             config,
             sessions: Sessions::default(),
             cancelled: Vec::new(),
+            unread: ReadQueue::default(),
             is_draining: false,
         }
     }
--- a/src/front/signed/reading.rs
+++ b/src/front/signed/reading.rs
@@ -184,10 +184,24 @@
         Ok(AuthorizedRequest { target, etags: head.etags, expires })
     }
 
-    /// Whether input that was left unread can be read now, since less than half of the maximum number of
-    /// requests are open.
-    pub fn has_unread_requests(&self, conn: ConnectionKey) -> bool {
+    /// Queues a connection to be read again if input was left unread and less than half of the maximum number
+    /// of requests are open. It is not read at once: a client that sends faster than it is answered would
+    /// keep the event loop to itself.
+    pub fn queue_unread_requests(&mut self, conn: ConnectionKey) {
         let can_read = |open: usize| open < MAX_OPEN_REQUESTS / 2;
-        self.sessions.get(conn).is_some_and(|session| session.has_unread && can_read(session.requests.len()))
+        let session = self.sessions.get(conn);
+        if session.is_some_and(|session| session.has_unread && can_read(session.requests.len())) {
+            self.unread.push(conn);
+        }
+    }
+
+    /// Removes and returns the first of the connections that may have more to read.
+    pub fn next_readable_connection(&mut self) -> Option<ConnectionKey> {
+        self.unread.pop()
+    }
+
+    /// Returns the number of connections that wait to be read again.
+    pub fn connections_with_more_to_read(&self) -> usize {
+        self.unread.len()
     }
 }
--- a/src/front/thrift/closing.rs
+++ b/src/front/thrift/closing.rs
@@ -59,7 +59,7 @@
             session.written_bytes = written_bytes;
             session.last_write_progress = now;
         }
-        let is_quiet = session.open_requests.is_empty() && !has_unwritten && !session.is_queued;
+        let is_quiet = session.open_requests.is_empty() && !has_unwritten && !self.unread.contains(conn);
         if !is_quiet {
             // A client may read its answers before it sends the rest of a message that it has begun, so the
             // timeout of this message starts after them.
--- a/src/front/thrift/handover.rs
+++ b/src/front/thrift/handover.rs
@@ -1,6 +1,7 @@
 //! Handover of connections to a newer process; if there is none, they are closed once they are idle.
 
 use super::limits::HANDOVER_PAUSE;
+use super::session::Session;
 use super::{SessionDeadline, ThriftFront};
 use crate::deadlines::Schedule;
 use crate::interface::Instant;
@@ -50,7 +51,8 @@
             match session.paused_since {
                 Some(since) if !is_end_near && since + HANDOVER_PAUSE <= now => {
                     session.pause_allowed_at = now + HANDOVER_PAUSE;
-                    session.resume(conn, &mut self.turns);
+                    session.paused_since = None;
+                    self.unread.push(conn);
                 }
                 None if is_end_near
                     || (session.open_requests.len() <= max_open && session.pause_allowed_at <= now) =>
@@ -75,7 +77,8 @@
     pub fn resume_reading(&mut self) {
         for (conn, session) in self.sessions.iter_mut() {
             if session.paused_since.is_some() {
-                session.resume(conn, &mut self.turns);
+                session.paused_since = None;
+                self.unread.push(conn);
             }
         }
     }
@@ -84,7 +87,10 @@
     /// count as idle, since its first request is about to arrive.
     pub fn idle_connection(&self, now: Instant, net: &mut Net) -> Option<ConnectionKey> {
         let mut draining = self.sessions.iter().filter(|_| self.is_draining);
-        draining.find(|(conn, session)| session.is_idle(now, *conn, net)).map(|(conn, _)| conn)
+        let is_idle = |conn, session: &Session, net: &mut Net| {
+            !self.unread.contains(conn) && session.is_idle(now, conn, net)
+        };
+        draining.find(|(conn, session)| is_idle(*conn, session, net)).map(|(conn, _)| conn)
     }
 
     /// Closes a connection gracefully if it is still idle.
@@ -96,7 +102,8 @@
         net: &mut Net,
         deadlines: &mut dyn Schedule<SessionDeadline>,
     ) {
-        if self.sessions.get(conn).is_some_and(|session| session.is_idle(now, conn, net)) {
+        let is_idle = self.sessions.get(conn).is_some_and(|session| session.is_idle(now, conn, net));
+        if is_idle && !self.unread.contains(conn) {
             self.close_gracefully(now, conn, reason, net, deadlines);
         }
     }
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -27,10 +27,10 @@
 use super::RequestHandle;
 use crate::deadlines::Schedule;
 use crate::interface::Instant;
-use crate::net::{ConnectionKey, Net};
+use crate::net::{ConnectionKey, Net, ReadQueue};
 use bytes::Bytes;
 use session::Session;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// The deadline of a connection's next timeout check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,9 +83,8 @@
 #[derive(Default)]
 pub struct ThriftFront {
     sessions: Sessions<Session>,
-    /// Connections that reached the limit of a read and may have more to read, in the order in which they are read
-    /// next.
-    turns: VecDeque<ConnectionKey>,
+    /// Connections that reached the limit of a read and may have more to read.
+    unread: ReadQueue,
     /// Whether connections are closed once they are idle.
     is_draining: bool,
 }
@@ -121,16 +120,12 @@
 
     /// Removes and returns the first of the connections that may have more to read.
     pub fn next_readable_connection(&mut self) -> Option<ConnectionKey> {
-        let conn = self.turns.pop_front()?;
-        if let Some(session) = self.sessions.get_mut(conn) {
-            session.is_queued = false;
-        }
-        Some(conn)
+        self.unread.pop()
     }
 
     /// Returns the number of connections that wait to be read again.
     pub fn connections_with_more_to_read(&self) -> usize {
-        self.turns.len()
+        self.unread.len()
     }
 
     /// Whether all answers are written on all connections.
--- a/src/front/thrift/reading.rs
+++ b/src/front/thrift/reading.rs
@@ -119,7 +119,7 @@
                 None
             };
             if turn_end == TurnEnd::LimitReached || (progress.is_buffer_full && taken > 0) {
-                session.queue(conn, &mut self.turns);
+                self.unread.push(conn);
                 return Ok(());
             }
             if progress.has_peer_ended {
--- a/src/front/thrift/session.rs
+++ b/src/front/thrift/session.rs
@@ -7,7 +7,7 @@
 use crate::front::{sessions, RequestHandle};
 use crate::interface::Instant;
 use crate::net::{ConnectionKey, Net, Reason};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// The open requests of a connection, with their handles once these are set.
 pub(super) type OpenRequests = BTreeMap<SequenceId, Option<RequestHandle>>;
@@ -25,8 +25,6 @@
     pub awaiting_message_since: Option<Instant>,
     /// Whether the client has sent a complete message, or the connection was adopted.
     pub has_sent_message: bool,
-    /// Whether the connection is queued to be read again.
-    pub is_queued: bool,
     /// Since when reading is paused, so that the connection can be handed over once its open requests are
     /// answered.
     pub paused_since: Option<Instant>,
@@ -84,7 +82,6 @@
             last_active: now,
             awaiting_message_since: Some(now),
             has_sent_message: false,
-            is_queued: false,
             paused_since: None,
             pause_allowed_at: now,
             lingering_since: None,
@@ -116,33 +113,18 @@
         net.input(conn, |input| input.clear());
     }
 
-    /// Whether all requests are answered and no further message has begun. A connection without a first
+    /// Whether all requests are answered and no further message has been read in part. A connection without a first
     /// message counts as idle only after [`FIRST_REQUEST_GRACE`].
     pub(super) fn is_idle(&self, now: Instant, conn: ConnectionKey, net: &mut Net) -> bool {
         let has_unused_input = |net: &mut Net| net.input(conn, |input| !input.is_empty()).unwrap_or(false);
         let is_past_first_request = self.has_sent_message || self.last_active + FIRST_REQUEST_GRACE <= now;
         is_past_first_request
             && self.lingering_since.is_none()
-            && !self.is_queued
             && self.open_requests.is_empty()
             && net.unwritten_bytes(conn) == 0
             && !has_unused_input(net)
     }
 
-    /// Queues the connection to be read again, unless it is queued already.
-    pub(super) fn queue(&mut self, conn: ConnectionKey, turns: &mut VecDeque<ConnectionKey>) {
-        if !self.is_queued {
-            self.is_queued = true;
-            turns.push_back(conn);
-        }
-    }
-
-    /// Ends the pause and queues the connection to be read again.
-    pub(super) fn resume(&mut self, conn: ConnectionKey, turns: &mut VecDeque<ConnectionKey>) {
-        self.paused_since = None;
-        self.queue(conn, turns);
-    }
-
     /// Cancels an open request. If the request arrived in the same read and has no handle yet, its event is
     /// removed instead, so that the server never sees it.
     pub(super) fn cancel(&mut self, conn: ConnectionKey, seqid: SequenceId, events: &mut Vec<ThriftEvent>) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,7 +5,7 @@
 //! - `listening`: listeners and accepted connections; `opening`: outgoing connections and connections taken
 //!   over from another process; `closing`: closes connections and logs their ends, with the codes of
 //!   `reason`;
-//! - `transfer`: reads and writes;
+//! - `transfer`: reads and writes; `read_queue`: connections that wait to be read again;
 //! - `connection`: the state of one connection; `role`: its purpose; `stream`: its socket;
 //! - `errors`: classifies the errors of system calls;
 //! - `clock`: the monotonic clock and the wall clock;
@@ -19,6 +19,7 @@
 mod listening;
 mod opening;
 mod poll;
+mod read_queue;
 mod reason;
 mod role;
 mod stream;
@@ -28,6 +29,7 @@
 pub use connection::ConnectionKey;
 pub use errors::{is_exhausted, is_local_error};
 pub use poll::Ready;
+pub use read_queue::ReadQueue;
 pub use reason::Reason;
 pub use role::Role;
 pub use stream::{Listener, Stream};
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -129,7 +129,7 @@
 
     /// Returns when the next turn is due even if no event comes; `None` if only an event makes one due.
     pub fn next_due(&self) -> Option<Instant> {
-        if self.thrift.connections_with_more_to_read() + self.upstream.connections_with_more_to_read() > 0 {
+        if self.connections_with_unread_requests() + self.upstream.connections_with_more_to_read() > 0 {
             Some(self.now)
         } else {
             self.deadlines.next()
@@ -173,6 +173,12 @@
             self.on_ready(Ready::readable(conn));
             self.process_commands();
         }
+        for _ in 0..self.signed_connections_with_more_to_read() {
+            let signed = self.signed.as_mut();
+            let Some(conn) = signed.and_then(|signed| signed.front.next_readable_connection()) else { break };
+            self.on_ready(Ready::readable(conn));
+            self.process_commands();
+        }
         for _ in 0..self.upstream.connections_with_more_to_read() {
             let Some(conn) = self.upstream.next_readable_connection() else { break };
             self.on_ready(Ready::readable(conn));
@@ -180,6 +186,15 @@
         }
     }
 
+    /// Returns the number of clients' connections that wait to be read again.
+    fn connections_with_unread_requests(&self) -> usize {
+        self.thrift.connections_with_more_to_read() + self.signed_connections_with_more_to_read()
+    }
+
+    fn signed_connections_with_more_to_read(&self) -> usize {
+        self.signed.as_ref().map_or(0, |signed| signed.front.connections_with_more_to_read())
+    }
+
     fn on_ready(&mut self, ready: Ready) {
         match ready {
             Ready::Source(number) => {
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -140,7 +140,7 @@
     fn is_all_answered(&self) -> bool {
         let signed = self.signed.as_ref().map(|signed| &signed.front);
         self.core.unanswered() == 0
-            && self.thrift.connections_with_more_to_read() == 0
+            && self.connections_with_unread_requests() == 0
             && self.thrift.is_flushed(&self.net)
             && signed.is_none_or(|signed| signed.is_flushed(&self.net))
     }
--- a/src/server/signed_requests.rs
+++ b/src/server/signed_requests.rs
@@ -34,11 +34,8 @@
     /// first byte is written.
     pub(super) fn write_signed_answers(&mut self, conn: ConnectionKey) {
         self.write_ready_answers(conn);
-        if self.signed.as_ref().is_some_and(|signed| signed.front.has_unread_requests(conn)) {
-            self.read_signed_requests(conn);
-            return self.write_signed_answers(conn);
-        }
         if let Some(signed) = &mut self.signed {
+            signed.front.queue_unread_requests(conn);
             signed.front.linger_if_answered(self.now, conn, &mut self.net, &mut self.deadlines);
             let cancelled = signed.front.take_cancelled();
             cancelled.into_iter().for_each(|handle| self.on_request_cancelled(handle));
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -30,11 +30,11 @@
 pub use queue_kind::QueueKind;
 
 use crate::interface::{Instant, ServerId, Span};
-use crate::net::ConnectionKey;
+use crate::net::{ConnectionKey, ReadQueue};
 use connection::Connection;
 use jobs::{Job, JobRecord};
 use servers::Server;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Limits of the pool, computed from the settings.
 #[derive(Clone, Copy, Debug)]
@@ -68,7 +68,7 @@
     /// Number of requests that were written completely, by the number of their class.
     written_by_class: Vec<u64>,
     /// Connections that had more to read than `MAX_READS_PER_TURN` reads could take.
-    read_turns: VecDeque<ConnectionKey>,
+    unread: ReadQueue,
 }
 
 impl Upstream {
@@ -84,7 +84,7 @@
             events: Vec::new(),
             bytes_held_elsewhere: 0,
             written_by_class: Vec::new(),
-            read_turns: VecDeque::new(),
+            unread: ReadQueue::default(),
         }
     }
 
--- a/src/upstream/reading.rs
+++ b/src/upstream/reading.rs
@@ -142,7 +142,7 @@
                 return Ok(());
             }
         }
-        self.read_turns.push_back(key);
+        self.unread.push(key);
         Ok(())
     }
 
@@ -187,12 +187,12 @@
 
     /// Removes and returns the first of the connections that had more to read.
     pub fn next_readable_connection(&mut self) -> Option<ConnectionKey> {
-        self.read_turns.pop_front()
+        self.unread.pop()
     }
 
     /// Returns the number of connections that wait to be read again.
     pub fn connections_with_more_to_read(&self) -> usize {
-        self.read_turns.len()
+        self.unread.len()
     }
 
     /// Handles a deadline of a connection that has passed.
--- a/tests/sockets/signed_front.rs
+++ b/tests/sockets/signed_front.rs
@@ -1,10 +1,15 @@
 //! The signed front: HTTP requests with signed URLs and tokens. Each request gets exactly one correct final answer.
 
 use crate::stand_ins::*;
+use crate::thrift_front;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 const OBJECT: &str = "7f3a9c21e0b4d655";
@@ -159,6 +164,63 @@
     head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
 }
 
+/// A client that pipelines requests without a credential as fast as it can, and reads its answers.
+struct Flood {
+    is_over: Arc<AtomicBool>,
+    sender: JoinHandle<()>,
+    reader: JoinHandle<()>,
+}
+
+impl Flood {
+    /// Starts the client, and waits until it is answered.
+    fn start(client: Client) -> Self {
+        let (mut answers, mut requests) = (client.0.try_clone().expect("clone the stream"), client.0);
+        let is_over = Arc::new(AtomicBool::new(false));
+        let is_sender_over = Arc::clone(&is_over);
+        let request = format!("GET /replays/17/{OBJECT}/3 HTTP/1.1\r\nHost: replays.example.org\r\n\r\n");
+        let sender = thread::spawn(move || {
+            let batch = request.repeat(500);
+            while !is_sender_over.load(Ordering::Relaxed) && requests.write_all(batch.as_bytes()).is_ok() {}
+            let _ = requests.shutdown(Shutdown::Write);
+        });
+        let (first, is_answered) = channel();
+        let reader = thread::spawn(move || {
+            let mut buffer = vec![0; 1 << 20];
+            while let Ok(1..) = answers.read(&mut buffer) {
+                let _ = first.send(());
+            }
+        });
+        is_answered.recv_timeout(TEST_TIMEOUT).expect("an answer");
+        Flood { is_over, sender, reader }
+    }
+
+    /// Stops sending; returns whether the client was still connected.
+    fn stop(self) -> bool {
+        let was_connected = !self.sender.is_finished();
+        self.is_over.store(true, Ordering::Relaxed);
+        self.sender.join().expect("the sender ends");
+        self.reader.join().expect("the reader ends");
+        was_connected
+    }
+}
+
+/// Guards against a client of this front that keeps the event loop to itself: no other client was served, no signal
+/// handled, and the process ended when its stack was full.
+#[test]
+fn fast_client_of_signed_front_does_not_starve_others() {
+    let mut setup = setup("signed-turns");
+    let flood = Flood::start(setup.client());
+    let (mut thrift, mut signed) = (thrift_front::Client::new(&setup.proxy), setup.client());
+    for seqid in 1..=50 {
+        assert!(thrift.ping(seqid));
+        signed.get(&format!("/replays/17/{OBJECT}/3"));
+        assert_eq!(signed.answer().status, 403);
+    }
+    assert!(flood.stop(), "the client that sends fast is served, too");
+    setup.proxy.signal("-TERM");
+    assert!(setup.proxy.child.wait().expect("the process ends").success());
+}
+
 #[test]
 fn valid_forged_expired_and_missing_links_get_one_answer_each() {
     let setup = setup("links");
