Upstream: close connections whose server sends noise or unsolicited answers without end

Cause: the parser skipped empty lines, however many came. Such noise was never malformed, no answer counted as received in part, so no deadline ran, and the bytes counted as a sign of life. Each connection cost up to 512 KiB of two-byte lines a turn. Answers under unknown ids without end had the same effect.

Change: an empty line is accepted only as the end of an empty body, once after an answer without a body. A line is limited to 4,096 bytes also if it arrives at once.

--- a/src/upstream/answers.rs
+++ b/src/upstream/answers.rs
@@ -33,6 +33,8 @@
     head: Option<Head>,
     /// Number of bytes of that answer that are still to be discarded.
     discard: usize,
+    /// Whether the line end of an empty body may follow, since the last answer had no body.
+    accepts_line_end: bool,
 }
 
 impl AnswerReader {
@@ -65,16 +67,31 @@
             if self.head.is_some() {
                 return self.take_body(input);
             }
-            let Some(head) = next_head(input)? else { return Ok(None) };
+            let Some(head) = self.next_head(input)? else { return Ok(None) };
             // A `200` answer with an empty body is complete only with the line end after the body, since the
             // stated length may be wrong.
             if head.body_length == 0 && head.answer.status != "200" {
+                self.accepts_line_end = true;
                 return Ok(Some(head.answer));
             }
             self.begin_body(head, input, capacity);
         }
     }
 
+    /// Removes the next line from `input` and parses it; `None` if no line has been received completely. An
+    /// empty line is the end of an empty body. Elsewhere it is malformed: a server could send empty lines for
+    /// ever, and its connection would never count as stalled.
+    fn next_head(&mut self, input: &mut BytesMut) -> Result<Option<Head>, MalformedAnswer> {
+        loop {
+            let Some(line) = take_line(input)? else { return Ok(None) };
+            let is_line_end = line.is_empty() && std::mem::take(&mut self.accepts_line_end);
+            if !is_line_end {
+                self.accepts_line_end = false;
+                return parse_head(&line).map(Some);
+            }
+        }
+    }
+
     /// Begins to receive or discard the body of an answer.
     fn begin_body(&mut self, mut head: Head, input: &mut BytesMut, capacity: usize) {
         if head.body_length > capacity {
@@ -118,18 +135,15 @@
     }
 }
 
-/// Removes the next line from `input` and parses it; `None` if no line has been received completely.
-fn next_head(input: &mut BytesMut) -> Result<Option<Head>, MalformedAnswer> {
-    loop {
-        let Some(end) = input.windows(LINE_END.len()).position(|pair| pair == LINE_END) else {
-            return if input.len() > MAX_LINE_BYTES { Err(MalformedAnswer) } else { Ok(None) };
-        };
-        let line = input.split_to(end + LINE_END.len());
-        // An empty line is the end of an empty body.
-        if end > 0 {
-            return parse_head(&line[..end]).map(Some);
-        }
-    }
+/// Removes the next line, without its end, from `input`; `None` if no line has been received completely.
+fn take_line(input: &mut BytesMut) -> Result<Option<BytesMut>, MalformedAnswer> {
+    let searched = &input[..input.len().min(MAX_LINE_BYTES + LINE_END.len())];
+    let Some(end) = searched.windows(LINE_END.len()).position(|pair| pair == LINE_END) else {
+        return if input.len() > MAX_LINE_BYTES { Err(MalformedAnswer) } else { Ok(None) };
+    };
+    let line = input.split_to(end);
+    input.advance(LINE_END.len());
+    Ok(Some(line))
 }
 
 /// Parses the line of an answer.
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -22,6 +22,51 @@
 /// came up, the write on it would fail as one that may have run, so it could not be retried.
 pub(super) const MIN_WRITE_CONNECTION_AGE: Span = Span::from_millis(3);
 
+/// Number of answers that each job permits on its connection: its own, a duplicate, and one under an unknown
+/// id.
+const ANSWERS_PER_JOB: u32 = 3;
+/// Maximum number of permitted answers that a connection can accumulate.
+const MAX_PERMITTED_ANSWERS: u32 = 4096;
+/// Number of answers beyond the permitted ones above which a connection is closed.
+pub(super) const MAX_UNSOLICITED_ANSWERS: u32 = 64;
+/// Time since the first answer beyond the permitted ones before which a connection is not closed for them.
+pub(super) const UNSOLICITED_ANSWER_TIME: Span = Span::from_millis(300);
+
+/// Counts the answers on a connection that belong to no job. A server that sends them without end takes the
+/// time of all others.
+#[derive(Debug, Default)]
+pub(super) struct UnsolicitedAnswers {
+    /// Number of answers that may still be received for the jobs that were written.
+    permitted: u32,
+    /// Number of answers that were received beyond these.
+    count: u32,
+    /// When the first of those was received.
+    since: Option<Instant>,
+}
+
+impl UnsolicitedAnswers {
+    /// Records that a job was written.
+    pub fn on_job_written(&mut self) {
+        self.permitted = (self.permitted + ANSWERS_PER_JOB).min(MAX_PERMITTED_ANSWERS);
+    }
+
+    /// Records an answer, whether a job is open for it or not.
+    pub fn on_answer(&mut self, now: Instant) {
+        if self.permitted > 0 {
+            self.permitted -= 1;
+            return;
+        }
+        self.count = self.count.saturating_add(1);
+        self.since.get_or_insert(now);
+    }
+
+    /// Whether the server has sent too many, for too long.
+    pub fn is_excessive(&self, now: Instant) -> bool {
+        self.count > MAX_UNSOLICITED_ANSWERS
+            && self.since.is_some_and(|since| since + UNSOLICITED_ANSWER_TIME <= now)
+    }
+}
+
 /// An id under which a job was answered on a connection.
 struct AnsweredId {
     answered_at: Instant,
@@ -49,6 +94,7 @@
     cancelled: BTreeSet<String>,
     /// Ids that were answered within [`DUPLICATE_ANSWER_WINDOW`], oldest first.
     answered: VecDeque<AnsweredId>,
+    pub unsolicited: UnsolicitedAnswers,
     pub reader: AnswerReader,
     /// Since when jobs have been open and nothing has been received; `None` while the connection is idle.
     pub silent_since: Option<Instant>,
@@ -85,6 +131,7 @@
             open_jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             answered: VecDeque::new(),
+            unsolicited: UnsolicitedAnswers::default(),
             reader: AnswerReader::default(),
             silent_since: None,
             unanswered_jobs: 0,
--- a/src/upstream/line_protocol/tests.rs
+++ b/src/upstream/line_protocol/tests.rs
@@ -38,7 +38,7 @@
 #[test]
 fn invalid_answers_are_malformed() {
     let long = [b"1 200 a=", &[b'x'; 5000][..]].concat();
-    let bad: [&[u8]; 9] = [
+    let bad: [&[u8]; 12] = [
         b"1\r\n",
         b"1 20x - 0\r\n",
         b"1 200 - 0\r\nab",
@@ -48,6 +48,9 @@
         b"1 200 - 0 5\r\n",
         b"1 \xff - 0\r\n",
         b"1 200 - 2\r\nabXX",
+        b"\r\n",
+        b"1 503 - 0\r\n\r\n\r\n",
+        b"1 200 - 0\r\n\r\n\r\n",
     ];
     for text in bad.into_iter().chain([&long[..]]) {
         assert_eq!(read(text, 64, 100), Err(MalformedAnswer), "{}", String::from_utf8_lossy(text));
--- a/src/upstream/reading.rs
+++ b/src/upstream/reading.rs
@@ -153,6 +153,10 @@
     }
 
     /// Ends the jobs whose answers have been received completely.
+    ///
+    /// # Errors
+    ///
+    /// The input is malformed, or has too many answers that belong to no job.
     fn take_answers(&mut self, now: Instant, key: ConnectionKey, net: &mut Net) -> Result<(), Reason> {
         let held_bytes = net.held_bytes() + self.bytes_held_elsewhere;
         let capacity = self.limits.max_buffered_bytes.saturating_sub(held_bytes);
@@ -167,11 +171,14 @@
         if !answers.is_empty() {
             connection.answer_started_at = None;
         }
+        answers.iter().for_each(|_| connection.unsolicited.on_answer(now));
+        let is_excessive = connection.unsolicited.is_excessive(now);
         for answer in answers {
             self.on_answer(now, key, answer);
         }
         match result {
             Some(Err(MalformedAnswer)) => Err(Reason::BadMessage),
+            _ if is_excessive => Err(Reason::BadMessage),
             _ => Ok(()),
         }
     }
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the pool as a whole.
 
-use super::connection::{DUPLICATE_ANSWER_WINDOW, MAX_UNANSWERED_JOBS, MIN_WRITE_CONNECTION_AGE};
+use super::connection::{
+    DUPLICATE_ANSWER_WINDOW, MAX_UNANSWERED_JOBS, MIN_WRITE_CONNECTION_AGE, UNSOLICITED_ANSWER_TIME,
+};
 use super::connections::MAX_CONNECT_RETRIES;
 use super::jobs::MIN_UNANSWERED_WAIT;
 use super::line_protocol::WireRequest;
@@ -485,3 +487,61 @@
     assert_eq!(ended, [UpstreamEvent::JobEnded { job: JobId(7), end: JobEnd::Reset }]);
     assert!(now >= since + MAX_ANSWER_TIME, "the connection was closed too early");
 }
+
+/// Sends the same bytes without end on a connection with an open job, for at most `until`. Returns when the
+/// connection was closed; `None` if it was not.
+fn close_time_under_endless(bytes: &[u8], until: Span) -> Option<Span> {
+    const INTERVAL: Span = Span::from_millis(20);
+    let (mut pool, mut encoder) = (SimulatedPool::new(), RecordingEncoder::default());
+    pool.queue(7, &mut encoder);
+    pool.advance(at(2 * MS));
+    pool.dispatch(&mut encoder);
+    let mut now = 2 * MS;
+    while now < until {
+        pool.fabric.send(SimulatedPool::LINK, &bytes.repeat(100));
+        now += INTERVAL;
+        pool.advance(at(now));
+        while let Some(what) = pool.deadlines.pop(at(now)) {
+            pool.upstream.deadline_passed(at(now), what, &mut pool.net, &mut pool.deadlines);
+        }
+        let events = pool.upstream.take_events();
+        if !events.is_empty() {
+            assert_eq!(events, [UpstreamEvent::JobEnded { job: JobId(7), end: JobEnd::Reset }]);
+            return Some(now);
+        }
+    }
+    None
+}
+
+/// Guards against noise that is read for ever: empty lines were skipped, however many came, and counted as a
+/// sign of life, so that the turns of the loop became too long for the requests of all clients.
+#[test]
+fn connection_with_endless_empty_lines_is_closed() {
+    assert!(close_time_under_endless(b"\r\n", ANSWER_STALL_TIMEOUT).is_some());
+}
+
+/// Guards against answers under unknown ids that are read for ever, with the same effect.
+#[test]
+fn connection_with_endless_unsolicited_answers_is_closed() {
+    let closed = close_time_under_endless(b"zz 503 - 0\r\n", ANSWER_STALL_TIMEOUT);
+    assert!(closed.is_some_and(|after| after >= UNSOLICITED_ANSWER_TIME), "{closed:?}");
+}
+
+/// A duplicate of each answer, and an answer under an unknown id ahead of it, are no reason to close a
+/// connection, however many jobs it has had.
+#[test]
+fn connection_with_two_extra_answers_for_each_job_stays_open() {
+    let (mut pool, mut encoder) = (SimulatedPool::new(), RecordingEncoder::default());
+    for job in 0..200 {
+        pool.queue(job, &mut encoder);
+        let now = pool.now + 10 * MS;
+        pool.advance(now);
+        pool.dispatch(&mut encoder);
+        let answers = format!("zz 503 - 0\r\na{job} 503 - 0\r\na{job} 503 - 0\r\n");
+        pool.fabric.send(SimulatedPool::LINK, answers.as_bytes());
+        pool.advance(now + 2 * MS);
+        let end = pool.upstream.take_events();
+        assert!(matches!(&end[..], [UpstreamEvent::JobEnded { end: JobEnd::Answer(_), .. }]), "{end:?}");
+        assert_eq!(pool.upstream.connections.len(), 1);
+    }
+}
--- a/src/upstream/writing.rs
+++ b/src/upstream/writing.rs
@@ -75,6 +75,7 @@
         };
         (record.connection, record.written_at) = (Some(key), now);
         connection.was_used = true;
+        connection.unsolicited.on_job_written();
         connection.uncounted_class = record.counted_class;
         connection.open_jobs.insert(record.wire_id.clone(), job);
         connection.silent_since.get_or_insert(now);
