Bound the unread input of all clients of a front together by the memory limit

Cause: the unread input was limited for each connection (64 KiB, 512 KiB while only cancellations are read) and by nothing for all together; buffers kept their whole size while some of them was in use; replies to clients that do not read were limited to 1 MiB a connection only.

Change: net::BufferLimits. The inputs of all clients of a front share 10% (Thrift) or 4% (signed) of the memory, with 2 KiB on each connection whatever the others hold, so that usual requests are always read. A connection without memory waits, its bytes in the socket, and is read once there is memory; while some wait, unfinished messages above 2 KiB have 250 ms instead of 2 s. Buffers of clients' input are replaced once half of what they held is processed. Above the share at which answers are dropped, clients with more than 4 KiB unread are not read.

--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -73,6 +73,8 @@
     cancelled: Vec<RequestHandle>,
     /// Connections whose unread requests can be read now, since some of those before them are answered.
     unread: ReadQueue,
+    /// Connections that may have more to read, and whose input has no memory left.
+    waiting_for_memory: ReadQueue,
     /// Whether each connection closes after its next answers, as the process shuts down.
     is_draining: bool,
 }
@@ -86,6 +88,7 @@
             sessions: Sessions::default(),
             cancelled: Vec::new(),
             unread: ReadQueue::default(),
+            waiting_for_memory: ReadQueue::default(),
             is_draining: false,
         }
     }
--- a/src/front/signed/reading.rs
+++ b/src/front/signed/reading.rs
@@ -8,7 +8,7 @@
 use super::{RequestIndex, SessionDeadline, SignedEvent, SignedFront, MAX_OPEN_REQUESTS};
 use crate::deadlines::Schedule;
 use crate::interface::{Instant, UnixTime};
-use crate::net::{ConnectionKey, Net, Reason};
+use crate::net::{ConnectionKey, Net, Reason, Role};
 use tracing::info;
 
 /// The current time on the monotonic clock and as Unix time.
@@ -55,6 +55,7 @@
         loop {
             let progress = net.read(conn, http::MAX_HEAD_BYTES + 1)?;
             let Some(session) = self.sessions.get_mut(conn) else { return Ok(()) };
+            let requests_before = session.received_requests;
             if progress.bytes > 0 {
                 session.last_active = now;
             }
@@ -69,7 +70,15 @@
             }
             // The rest is read once fewer requests are open; no event announces it.
             session.has_unread = !session.ends_after_answers && session.requests.len() >= MAX_OPEN_REQUESTS;
-            if session.ends_after_answers || session.has_unread || !progress.is_buffer_full {
+            if session.ends_after_answers || session.has_unread {
+                return Ok(());
+            }
+            if progress.is_memory_short {
+                let has_progressed = session.received_requests > requests_before;
+                let queue = if has_progressed { &mut self.unread } else { &mut self.waiting_for_memory };
+                queue.push(conn);
+            }
+            if !progress.is_buffer_full {
                 return Ok(());
             }
         }
@@ -195,6 +204,17 @@
         }
     }
 
+    /// Queues connections that waited for memory to be read again, as many as there is memory for the longest
+    /// head.
+    pub fn resume_waiting_for_memory(&mut self, net: &Net) {
+        let mut free = net.free_input_bytes(Role::Signed);
+        while free > http::MAX_HEAD_BYTES {
+            let Some(conn) = self.waiting_for_memory.pop() else { return };
+            self.unread.push(conn);
+            free -= http::MAX_HEAD_BYTES;
+        }
+    }
+
     /// Removes and returns the first of the connections that may have more to read.
     pub fn next_readable_connection(&mut self) -> Option<ConnectionKey> {
         self.unread.pop()
--- a/src/front/thrift/closing.rs
+++ b/src/front/thrift/closing.rs
@@ -1,13 +1,16 @@
 //! Closing of clients' connections: timeouts, graceful and immediate closing.
 
-use super::limits::{CHECK_INTERVAL, IDLE_TIMEOUT, LINGER_TIMEOUT, MESSAGE_TIMEOUT, WRITE_STALL_TIMEOUT};
+use super::limits::{
+    CHECK_INTERVAL, IDLE_TIMEOUT, LINGER_TIMEOUT, MESSAGE_TIMEOUT, MESSAGE_TIMEOUT_WITHOUT_MEMORY,
+    WRITE_STALL_TIMEOUT,
+};
 use super::session::OpenRequests;
 use super::{SessionDeadline, ThriftEvent, ThriftFront};
 use crate::deadlines::Schedule;
 use crate::front::lingering;
 use crate::front::RequestHandle;
 use crate::interface::Instant;
-use crate::net::{ConnectionKey, Net, Reason};
+use crate::net::{ConnectionKey, Net, Reason, MIN_INPUT_BYTES};
 use tracing::info;
 
 /// Result of checking a connection's timeouts.
@@ -65,6 +68,12 @@
             // timeout of this message starts after them.
             session.awaiting_message_since = session.awaiting_message_since.map(|_| now);
         }
+        let is_large = net.unprocessed_bytes(conn) > MIN_INPUT_BYTES;
+        let message_timeout = if is_large && !self.waiting_for_memory.is_empty() {
+            MESSAGE_TIMEOUT_WITHOUT_MEMORY
+        } else {
+            MESSAGE_TIMEOUT
+        };
         let is_over = |since: Option<Instant>, limit| since.is_some_and(|since| since + limit <= now);
         if is_over(session.lingering_since, LINGER_TIMEOUT) {
             TimeoutCheck::Close(Reason::Done)
@@ -72,7 +81,7 @@
             TimeoutCheck::Close(Reason::Stalled)
         } else if session.lingering_since.is_some() || !is_quiet {
             TimeoutCheck::Passed // open requests are not cancelled because of an incomplete message
-        } else if is_over(session.awaiting_message_since, MESSAGE_TIMEOUT) {
+        } else if is_over(session.awaiting_message_since, message_timeout) {
             TimeoutCheck::CloseGracefully(Reason::HeadTimeout)
         } else if session.last_active + IDLE_TIMEOUT <= now {
             TimeoutCheck::Idle
--- a/src/front/thrift/limits.rs
+++ b/src/front/thrift/limits.rs
@@ -12,6 +12,8 @@
 pub(super) const MAX_UNWRITTEN_BYTES: usize = 1 << 20;
 /// Maximum number of unread bytes that are searched for cancellations and handed over with a connection.
 pub(super) const MAX_SCANNED_BYTES: usize = 512 * 1024;
+/// The part of the free memory for input that one connection may use for its search.
+pub(super) const SCANNED_MEMORY_DIVISOR: usize = 8;
 /// Maximum number of messages taken from one connection before the others are read.
 pub(super) const MESSAGES_PER_TURN: usize = 8;
 
@@ -22,6 +24,9 @@
 /// A message must be complete within this time after it began, and the first one after the client connected:
 /// clients must see their connection end within 3 s.
 pub(super) const MESSAGE_TIMEOUT: Span = Span::from_secs(2);
+/// The same while other connections wait for memory, for a connection that holds more than
+/// [`MIN_INPUT_BYTES`](crate::net::MIN_INPUT_BYTES).
+pub(super) const MESSAGE_TIMEOUT_WITHOUT_MEMORY: Span = Span::from_millis(250);
 /// A connection without open requests is closed after this time. Clients close idle connections after 4 s.
 pub(super) const IDLE_TIMEOUT: Span = Span::from_secs(6);
 /// A lingering connection is closed after this time, even if the client has not closed it.
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -27,8 +27,9 @@
 use super::RequestHandle;
 use crate::deadlines::Schedule;
 use crate::interface::Instant;
-use crate::net::{ConnectionKey, Net, ReadQueue};
+use crate::net::{ConnectionKey, Net, ReadQueue, Role};
 use bytes::Bytes;
+use limits::MAX_FRAME_BYTES;
 use session::Session;
 use std::collections::BTreeMap;
 
@@ -85,6 +86,8 @@
     sessions: Sessions<Session>,
     /// Connections that reached the limit of a read and may have more to read.
     unread: ReadQueue,
+    /// Connections that may have more to read, and whose input has no memory left.
+    waiting_for_memory: ReadQueue,
     /// Whether connections are closed once they are idle.
     is_draining: bool,
 }
@@ -123,6 +126,17 @@
         self.unread.pop()
     }
 
+    /// Queues connections that waited for memory to be read again, as many as there is memory for the longest
+    /// frame.
+    pub fn resume_waiting_for_memory(&mut self, net: &Net) {
+        let mut free = net.free_input_bytes(Role::Thrift);
+        while free >= MAX_FRAME_BYTES {
+            let Some(conn) = self.waiting_for_memory.pop() else { return };
+            self.unread.push(conn);
+            free -= MAX_FRAME_BYTES;
+        }
+    }
+
     /// Returns the number of connections that wait to be read again.
     pub fn connections_with_more_to_read(&self) -> usize {
         self.unread.len()
--- a/src/front/thrift/reading.rs
+++ b/src/front/thrift/reading.rs
@@ -5,12 +5,13 @@
 use super::frames::{find_cancellations, next_frame};
 use super::limits::{
     MAX_FRAME_BYTES, MAX_OPEN_REQUESTS, MAX_SCANNED_BYTES, MAX_UNWRITTEN_BYTES, MESSAGES_PER_TURN,
+    SCANNED_MEMORY_DIVISOR,
 };
 use super::{SessionDeadline, ThriftEvent, ThriftFront};
 use crate::deadlines::Schedule;
 use crate::front::lingering;
 use crate::interface::Instant;
-use crate::net::{ConnectionKey, Net, Reason};
+use crate::net::{ConnectionKey, Net, Reason, Role};
 use bytes::Bytes;
 use tracing::warn;
 
@@ -104,7 +105,9 @@
             let Some(session) = self.sessions.get_mut(conn) else { return Ok(()) };
             // If too much is unwritten, the write event that follows once the client takes bytes triggers the
             // next read.
-            if session.paused_since.is_some() || net.unwritten_bytes(conn) >= MAX_UNWRITTEN_BYTES {
+            if session.paused_since.is_some()
+                || net.unwritten_bytes(conn) >= net.max_unwritten_bytes(MAX_UNWRITTEN_BYTES)
+            {
                 return self.read_cancellations(now, conn, net, events);
             }
             session.scanned_bytes = 0;
@@ -118,13 +121,18 @@
             } else {
                 None
             };
-            if turn_end == TurnEnd::LimitReached || (progress.is_buffer_full && taken > 0) {
+            let may_have_more = progress.is_buffer_full || progress.is_memory_short;
+            if turn_end == TurnEnd::LimitReached || (may_have_more && taken > 0) {
                 self.unread.push(conn);
                 return Ok(());
             }
             if progress.has_peer_ended {
                 return Err(Reason::PeerClosed);
             }
+            if progress.is_memory_short {
+                session.waiting_since.get_or_insert(now);
+                self.waiting_for_memory.push(conn);
+            }
             if !progress.is_buffer_full {
                 return Ok(());
             }
@@ -158,7 +166,8 @@
         net: &mut Net,
         events: &mut Vec<ThriftEvent>,
     ) -> Result<(), Reason> {
-        let progress = net.read(conn, MAX_SCANNED_BYTES)?;
+        let share = net.free_input_bytes(Role::Thrift) / SCANNED_MEMORY_DIVISOR;
+        let progress = net.read(conn, share.clamp(MAX_FRAME_BYTES, MAX_SCANNED_BYTES))?;
         if let Some(session) = self.sessions.get_mut(conn) {
             session.add_arrival(now, progress.bytes);
             let scanned = &mut session.scanned_bytes;
--- a/src/front/thrift/tests.rs
+++ b/src/front/thrift/tests.rs
@@ -1,11 +1,13 @@
 //! Tests of reading, timeouts and the handover of connections.
 
 use super::codec::ThriftReply;
-use super::limits::{CHECK_INTERVAL, IDLE_TIMEOUT, MAX_FRAME_BYTES, MESSAGE_TIMEOUT};
+use super::limits::{
+    CHECK_INTERVAL, IDLE_TIMEOUT, MAX_FRAME_BYTES, MESSAGE_TIMEOUT, MESSAGE_TIMEOUT_WITHOUT_MEMORY,
+};
 use super::*;
 use crate::deadlines::Deadlines;
 use crate::interface::Span;
-use crate::net::{Ready, Reason, Role};
+use crate::net::{BufferLimits, Ready, Reason, Role, MIN_INPUT_BYTES};
 use std::io::Write;
 use std::net::TcpStream;
 
@@ -58,6 +60,27 @@
         self.front.sessions.get(self.conn).expect("the connection is open")
     }
 
+    /// Opens another client's connection.
+    fn open_another(&mut self, now: Instant) -> (TcpStream, ConnectionKey) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("the local address");
+        let client = TcpStream::connect(addr).expect("a connection");
+        let accepted = listener.accept().expect("an accepted connection").0;
+        let conn = self.net.adopt(now, accepted, Role::Thrift, b"").expect("adopted");
+        self.front.open(now, conn, &mut self.deadlines);
+        (client, conn)
+    }
+
+    /// Reads from a connection until it holds as many unprocessed bytes. Returns their events.
+    fn read_until(&mut self, now: Instant, conn: ConnectionKey, unprocessed: usize) -> Vec<ThriftEvent> {
+        let mut events = Vec::new();
+        while self.net.unprocessed_bytes(conn) < unprocessed {
+            events.extend(self.front.on_ready(now, conn, false, &mut self.net, &mut self.deadlines));
+        }
+        assert_eq!(self.net.unprocessed_bytes(conn), unprocessed);
+        events
+    }
+
     /// Sends these bytes and reads until they have arrived. Returns their events.
     fn send(&mut self, now: Instant, bytes: &[u8]) -> Vec<ThriftEvent> {
         self.client.write_all(bytes).expect("written");
@@ -347,3 +370,62 @@
     assert!(matches!(events[..], [ThriftEvent::Request { .. }]), "{events:?}");
     assert!(fixture.front.owns(fixture.conn));
 }
+
+/// Guards against unfinished messages of many connections that exceed the memory of the process, each within
+/// the limit of its connection. A message for which there is no memory is read once another one has ended.
+#[test]
+fn unfinished_messages_share_a_limit() {
+    let mut fixture = Fixture::new();
+    let limits = BufferLimits { thrift_input_bytes: 2 * MAX_FRAME_BYTES + 1, ..BufferLimits::default() };
+    fixture.net.set_limits(limits);
+    let body = vec![0; MAX_FRAME_BYTES - 4];
+    let unfinished = [&(MAX_FRAME_BYTES as i32).to_be_bytes()[..], &body].concat();
+    let mut others: Vec<_> = (0..4).map(|_| fixture.open_another(Instant::ZERO)).collect();
+    for (client, conn) in &mut others[..2] {
+        client.write_all(&unfinished).expect("written");
+        fixture.read_until(Instant::ZERO, *conn, MAX_FRAME_BYTES);
+    }
+    for (client, conn) in &mut others[2..] {
+        client.write_all(&unfinished).expect("written");
+        fixture.read_until(Instant::ZERO, *conn, MIN_INPUT_BYTES);
+    }
+    assert!(fixture.net.held_bytes() <= 2 * MAX_FRAME_BYTES + 2 * MIN_INPUT_BYTES);
+    assert_eq!(fixture.send(Instant::ZERO, &invoke(1)).len(), 1, "a usual request is read all the same");
+    fixture.front.resume_waiting_for_memory(&fixture.net);
+    assert_eq!(fixture.front.next_readable_connection(), None, "there is no memory yet");
+    let (_, ended) = others[0];
+    fixture.front.close(Instant::ZERO, ended, Reason::PeerClosed, &mut fixture.net, &mut fixture.deadlines);
+    fixture.front.resume_waiting_for_memory(&fixture.net);
+    assert_eq!(fixture.front.next_readable_connection(), None, "other connections use some of the memory");
+    let (_, ended) = others[1];
+    fixture.front.close(Instant::ZERO, ended, Reason::PeerClosed, &mut fixture.net, &mut fixture.deadlines);
+    fixture.front.resume_waiting_for_memory(&fixture.net);
+    let (_, next) = others[2];
+    assert_eq!(fixture.front.next_readable_connection(), Some(next));
+    assert_eq!(fixture.front.next_readable_connection(), None);
+    fixture.read_until(Instant::ZERO, next, MAX_FRAME_BYTES);
+}
+
+/// A connection that holds much memory for an unfinished message must not keep it from others for the whole
+/// timeout of a message.
+#[test]
+fn message_timeout_is_shorter_while_others_wait_for_memory() {
+    for others_wait in [false, true] {
+        let mut fixture = Fixture::new();
+        let length = MIN_INPUT_BYTES + 1;
+        let limits = BufferLimits { thrift_input_bytes: length + 1, ..BufferLimits::default() };
+        fixture.net.set_limits(limits);
+        let unfinished = [&(MAX_FRAME_BYTES as i32).to_be_bytes()[..], &vec![0; length - 4]].concat();
+        fixture.send(Instant::ZERO, &unfinished);
+        let conn = fixture.conn;
+        fixture.read_until(Instant::ZERO, conn, length);
+        let (mut client, other) = fixture.open_another(Instant::ZERO);
+        if others_wait {
+            client.write_all(&unfinished).expect("written");
+            fixture.read_until(Instant::ZERO, other, MIN_INPUT_BYTES);
+        }
+        let is_open = fixture.pass_time(at(MESSAGE_TIMEOUT_WITHOUT_MEMORY + CHECK_INTERVAL));
+        assert_eq!(is_open, !others_wait);
+        assert!(fixture.front.owns(other), "the connection that waits has the full timeout");
+    }
+}
--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -57,7 +57,8 @@
         if is_client {
             self.closed.push(key);
         }
-        self.held_bytes = self.held_bytes.saturating_sub(connection.held_bytes());
+        self.count_input(connection.role, connection.input.len(), 0);
+        self.held_bytes = self.held_bytes.saturating_sub(connection.unwritten_bytes);
         log_end(now, key, reason, &connection);
     }
 
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -39,6 +39,8 @@
     pub opened_at: Instant,
     /// Bytes that were read from the socket and are not processed yet.
     pub input: BytesMut,
+    /// The greatest length of the input since its buffer was allocated.
+    pub longest_input: usize,
     /// Bytes that wait to be written to the socket.
     pub output: VecDeque<Bytes>,
     /// Total number of bytes in `output`.
@@ -57,6 +59,7 @@
             address: peer.ip(),
             opened_at: now,
             input: BytesMut::new(),
+            longest_input: 0,
             output: VecDeque::new(),
             unwritten_bytes: 0,
             read_bytes: 0,
@@ -95,8 +98,16 @@
         std::mem::take(&mut self.unwritten_bytes)
     }
 
-    /// Returns the number of bytes in both buffers.
-    pub fn held_bytes(&self) -> usize {
-        self.input.len() + self.unwritten_bytes
+    /// Frees the buffer of a client's input once most of the bytes that it has held are processed, since it
+    /// keeps its size while any of it is in use. An empty input holds no memory.
+    pub fn shrink_input(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        } else if self.role.is_client() && self.input.len() <= self.longest_input / 2 {
+            self.input = BytesMut::from(&self.input[..]);
+        } else {
+            return;
+        }
+        self.longest_input = self.input.len();
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,11 +6,13 @@
 //!   over from another process; `closing`: closes connections and logs their ends, with the codes of
 //!   `reason`;
 //! - `transfer`: reads and writes; `read_queue`: connections that wait to be read again;
+//! - `buffer_limits`: limits of the buffers of all connections together;
 //! - `connection`: the state of one connection; `role`: its purpose; `stream`: its socket;
 //! - `errors`: classifies the errors of system calls;
 //! - `clock`: the monotonic clock and the wall clock;
 //! - `fabric`: the simulated network.
 
+mod buffer_limits;
 mod clock;
 mod closing;
 mod connection;
@@ -25,6 +27,7 @@
 mod stream;
 mod transfer;
 
+pub use buffer_limits::{BufferLimits, MIN_INPUT_BYTES};
 pub use clock::{unix_time, Clock, WallClock};
 pub use connection::ConnectionKey;
 pub use errors::{is_exhausted, is_local_error};
@@ -37,6 +40,7 @@
 
 use crate::interface::UnixTime;
 use crate::slots::Slots;
+use buffer_limits::InputBytes;
 use connection::Connection;
 use fabric::Fabric;
 use mio::{Events, Poll};
@@ -61,6 +65,9 @@
     scratch: Vec<u8>,
     /// Number of bytes in the buffers of all connections.
     held_bytes: usize,
+    /// The part of them that is unread input, by role.
+    input_bytes: InputBytes,
+    limits: BufferLimits,
     /// Client connections that were closed since the last call of [`Net::take_closed`].
     closed: Vec<ConnectionKey>,
 }
@@ -89,6 +96,8 @@
             counts: RoleCounts::default(),
             scratch: vec![0; READ_CHUNK_BYTES],
             held_bytes: 0,
+            input_bytes: InputBytes::default(),
+            limits: BufferLimits::default(),
             closed: Vec::new(),
         }
     }
@@ -126,6 +135,29 @@
         self.connections.get_mut(key.0)
     }
 
+    /// Replaces the limits of the buffers of all connections together. There are none at first.
+    pub fn set_limits(&mut self, limits: BufferLimits) {
+        self.limits = limits;
+    }
+
+    /// Returns the number of unread bytes that connections of a role may hold in addition to those that they
+    /// hold now.
+    pub fn free_input_bytes(&self, role: Role) -> usize {
+        self.limits.free_input(role, self.input_bytes.of(role))
+    }
+
+    /// Returns the number of unwritten bytes from which on a client's connection should not be read, which is
+    /// `usual` while there is memory for it.
+    pub fn max_unwritten_bytes(&self, usual: usize) -> usize {
+        self.limits.max_unwritten(usual, self.held_bytes)
+    }
+
+    /// Updates the counts of held bytes after a connection's input has changed its length.
+    fn count_input(&mut self, role: Role, before: usize, after: usize) {
+        self.held_bytes = (self.held_bytes + after).saturating_sub(before);
+        self.input_bytes.replace(role, before, after);
+    }
+
     /// Returns the number of bytes in the input and output buffers of all connections.
     pub fn held_bytes(&self) -> usize {
         self.held_bytes
--- a/src/net/opening.rs
+++ b/src/net/opening.rs
@@ -120,7 +120,7 @@
         input: &[u8],
     ) -> io::Result<ConnectionKey> {
         let key = self.add(now, stream, role, peer)?;
-        self.held_bytes += input.len();
+        self.count_input(role, 0, input.len());
         if let Some(connection) = self.connection_mut(key) {
             connection.input.extend_from_slice(input);
         }
--- a/src/net/role.rs
+++ b/src/net/role.rs
@@ -19,7 +19,7 @@
 
 impl Role {
     /// Number of roles.
-    const COUNT: usize = Role::Federation as usize + 1;
+    pub(super) const COUNT: usize = Role::Federation as usize + 1;
 
     /// Whether the peer is a client.
     pub(super) fn is_client(self) -> bool {
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -99,7 +99,7 @@
     assert!(matches!(&events[..], [ActorEvent::Bytes { bytes, .. }] if bytes == b"ping"), "{events:?}");
     assert_eq!(
         net.read(key, 100),
-        Ok(ReadProgress { is_buffer_full: false, has_peer_ended: false, bytes: 4 })
+        Ok(ReadProgress { is_buffer_full: false, is_memory_short: false, has_peer_ended: false, bytes: 4 })
     );
 }
 
@@ -142,7 +142,7 @@
     assert_eq!(events.collect::<Vec<u8>>(), [text.clone(), text.clone()].concat());
     assert_eq!(
         net.read(key, 100),
-        Ok(ReadProgress { is_buffer_full: false, has_peer_ended: false, bytes: 10 })
+        Ok(ReadProgress { is_buffer_full: false, is_memory_short: false, has_peer_ended: false, bytes: 10 })
     );
     assert_eq!(net.input(key, |input| input.split().freeze()), Some(text));
 }
--- a/src/net/transfer.rs
+++ b/src/net/transfer.rs
@@ -1,7 +1,7 @@
 //! Reads from connections and writes to them through bounded buffers.
 
 use super::connection::Connection;
-use super::{ConnectionKey, Net, Reason, READ_CHUNK_BYTES};
+use super::{ConnectionKey, Net, Reason, MIN_INPUT_BYTES, READ_CHUNK_BYTES};
 use bytes::{Bytes, BytesMut};
 use std::io::{self, IoSlice};
 
@@ -13,6 +13,9 @@
 pub struct ReadProgress {
     /// Whether the input buffer is full. There may be more to read once some of it is processed.
     pub is_buffer_full: bool,
+    /// Whether the input buffer could not be filled, since other connections hold too many bytes. There may
+    /// be more to read, and no event announces it.
+    pub is_memory_short: bool,
     /// Whether the peer has stopped writing and all its bytes were read.
     pub has_peer_ended: bool,
     /// Number of bytes that were read.
@@ -27,21 +30,25 @@
 }
 
 impl Net {
-    /// Reads until no more bytes are available or the input buffer holds `limit` bytes.
+    /// Reads until no more bytes are available or the input buffer holds `limit` bytes. From a client, less is
+    /// read while the inputs of all clients together are at their limit.
     ///
     /// # Errors
     ///
     /// The connection is broken or closed.
     pub fn read(&mut self, key: ConnectionKey, limit: usize) -> Result<ReadProgress, Reason> {
         let Some(connection) = self.connections.get_mut(key.0) else { return Err(Reason::PeerReset) };
-        let before = connection.input.len();
-        let stop = connection.fill_input(limit, &mut self.scratch);
-        let bytes = connection.input.len() - before;
-        self.held_bytes += bytes;
+        let (role, before) = (connection.role, connection.input.len());
+        let free = self.limits.free_input(role, self.input_bytes.of(role));
+        let allowed = limit.min(before.saturating_add(free).max(MIN_INPUT_BYTES));
+        let stop = connection.fill_input(allowed, &mut self.scratch);
+        let after = connection.input.len();
+        self.count_input(role, before, after);
         stop.map(|stop| ReadProgress {
-            is_buffer_full: matches!(stop, ReadStop::BufferFull),
+            is_buffer_full: matches!(stop, ReadStop::BufferFull) && allowed == limit,
+            is_memory_short: matches!(stop, ReadStop::BufferFull) && allowed < limit,
             has_peer_ended: matches!(stop, ReadStop::PeerEnded),
-            bytes,
+            bytes: after - before,
         })
     }
 
@@ -69,13 +76,17 @@
         let connection = self.connections.get_mut(key.0)?;
         let before = connection.input.len();
         let result = with(&mut connection.input);
-        self.held_bytes = (self.held_bytes + connection.input.len()).saturating_sub(before);
-        if connection.input.is_empty() {
-            connection.input = BytesMut::new(); // frees the buffer: idle connections hold no memory
-        }
+        connection.shrink_input();
+        let (role, after) = (connection.role, connection.input.len());
+        self.count_input(role, before, after);
         Some(result)
     }
 
+    /// Returns the number of bytes that were read and are not processed yet.
+    pub fn unprocessed_bytes(&self, key: ConnectionKey) -> usize {
+        self.connection(key).map_or(0, |connection| connection.input.len())
+    }
+
     /// Returns the number of buffered bytes that wait to be written.
     pub fn unwritten_bytes(&self, key: ConnectionKey) -> usize {
         self.connection(key).map_or(0, |connection| connection.unwritten_bytes)
@@ -148,6 +159,7 @@
                 Ok(0) => return Ok(ReadStop::PeerEnded),
                 Ok(count) => {
                     self.input.extend_from_slice(&scratch[..count]);
+                    self.longest_input = self.longest_input.max(self.input.len());
                     self.read_bytes += count as u64;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(ReadStop::NothingLeft),
--- a/src/server/budget.rs
+++ b/src/server/budget.rs
@@ -2,6 +2,7 @@
 
 use crate::config::settings::ProgramSettings;
 use crate::config::ProcessLimits;
+use crate::net::BufferLimits;
 use crate::upstream::PoolLimits;
 
 /// Number of descriptors besides those of clients' and servers' connections: listeners, poll, signals,
@@ -19,6 +20,12 @@
 const ALL_REJECTED_ABOVE: f64 = 0.32;
 /// Fraction of the memory above which no answer is buffered.
 const ANSWERS_DROPPED_ABOVE: f64 = 0.4;
+/// Fraction of the memory for unread input of the Thrift front's clients.
+const THRIFT_INPUT_FRACTION: f64 = 0.1;
+/// Fraction of the memory for unread input of the signed front's clients.
+const SIGNED_INPUT_FRACTION: f64 = 0.04;
+/// Least number of bytes for unread input of the clients of a front: some of the longest requests.
+const MIN_FRONT_INPUT_BYTES: usize = 512 * 1024;
 /// A client is a slow reader while at least this many bytes of answers are queued for it: the size of the
 /// longest answer.
 const SLOW_READER_BYTES: usize = 240_000;
@@ -35,6 +42,10 @@
     max_bytes_for_requests: usize,
     /// Number of held bytes above which no answer is buffered.
     max_bytes_for_answers: usize,
+    /// Maximum number of unread bytes of the Thrift front's clients.
+    max_thrift_input_bytes: usize,
+    /// Maximum number of unread bytes of the signed front's clients.
+    max_signed_input_bytes: usize,
 }
 
 impl ResourceBudget {
@@ -52,6 +63,8 @@
             max_bytes_for_slow_readers: (memory * SLOW_READERS_REJECTED_ABOVE) as usize,
             max_bytes_for_requests: (memory * ALL_REJECTED_ABOVE) as usize,
             max_bytes_for_answers: (memory * ANSWERS_DROPPED_ABOVE) as usize,
+            max_thrift_input_bytes: ((memory * THRIFT_INPUT_FRACTION) as usize).max(MIN_FRONT_INPUT_BYTES),
+            max_signed_input_bytes: ((memory * SIGNED_INPUT_FRACTION) as usize).max(MIN_FRONT_INPUT_BYTES),
         }
     }
 
@@ -62,6 +75,15 @@
         held_bytes > max
     }
 
+    /// Returns the limits of the buffers of all connections together.
+    pub fn buffer_limits(&self) -> BufferLimits {
+        BufferLimits {
+            thrift_input_bytes: self.max_thrift_input_bytes,
+            signed_input_bytes: self.max_signed_input_bytes,
+            held_bytes: self.max_bytes_for_answers,
+        }
+    }
+
     /// Returns the limits of the connections to servers.
     pub fn pool_limits(&self, settings: &ProgramSettings) -> PoolLimits {
         PoolLimits {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -156,6 +156,7 @@
             self.on_deadline(deadline);
             self.process_commands();
         }
+        self.resume_waiting_for_memory();
         self.read_waiting_connections();
         // Attempts are written after all events of the turn are handled, such as changes of the endpoint list
         // and cancelled requests.
@@ -166,6 +167,14 @@
         Ok(())
     }
 
+    /// Queues clients' connections to be read again for whose input there is memory now.
+    fn resume_waiting_for_memory(&mut self) {
+        self.thrift.resume_waiting_for_memory(&self.net);
+        if let Some(signed) = &mut self.signed {
+            signed.front.resume_waiting_for_memory(&self.net);
+        }
+    }
+
     /// Reads once more from each connection that reached the limit of its last read and may have more to read.
     fn read_waiting_connections(&mut self) {
         for _ in 0..self.thrift.connections_with_more_to_read() {
--- a/src/server/reload.rs
+++ b/src/server/reload.rs
@@ -56,6 +56,7 @@
     pub(super) fn update_process_share(&mut self) {
         let share = self.handover.process_share();
         self.budget = ResourceBudget::new(&self.config.limits, share.processes);
+        self.net.set_limits(self.budget.buffer_limits());
         self.upstream.set_limits(self.budget.pool_limits(&self.config.settings.program));
         self.upstream.close_excess_idle(self.now, &mut self.net, &mut self.deadlines);
         self.core.set_process_share(share.processes as u32, share.position as u32);
--- a/tests/sockets/thrift_front.rs
+++ b/tests/sockets/thrift_front.rs
@@ -633,3 +633,37 @@
         }
     }
 }
+
+/// Guards against many unfinished messages that together exceed the memory limit, for which the process is killed. Usual
+/// clients are served meanwhile, and each bad client is closed.
+#[test]
+fn unfinished_messages_of_many_clients_stay_within_memory_limit() {
+    const MEMORY_MB: u64 = 8;
+    const PIECE_BYTES: usize = 2000;
+    let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+    let small = |config: &str| config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"));
+    let proxy = Proxy::start("unfinished", &[&cache, &parent], small, &[]);
+    let memory_kib = || {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id()));
+        let status = status.expect("read the state of the process");
+        let line =
+            status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("a line for the memory");
+        line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number")
+    };
+    let mut usual = Client::new(&proxy);
+    let mut bad: Vec<Client> = (0..200).map(|_| Client::new(&proxy)).collect();
+    let mut unfinished = invoke(1, &[("route", "result")], &[1; 65_000]);
+    unfinished.pop();
+    for (seqid, piece) in (1..).zip(unfinished.chunks(PIECE_BYTES)) {
+        for client in &mut bad {
+            let _ = client.0.write_all(piece); // it may have been closed
+        }
+        usual.send(&request(seqid, "replay"));
+        cache.next_line().answer("200", "ver=a", b"x");
+        assert_eq!(usual.reply(), (seqid, served(b"x")));
+        assert!(memory_kib() <= MEMORY_MB * 1024, "{} KiB", memory_kib());
+    }
+    assert!(bad.iter_mut().all(Client::is_closed));
+    assert!(memory_kib() <= MEMORY_MB * 1024, "{} KiB", memory_kib());
+    assert!(usual.ping(1000));
+}
