Shutdown: close the listeners in bounded time under clients that reconnect at once

Cause: Server::stop_accepting emptied the listeners' queues in one call, while a connection was waiting; each connection over the limit evicts another, whose client connects again.

Change: 32 connections a turn, at most 33 turns (a full queue of 1,024), with everything else handled in between. The last reading of unread requests before the kill time ends after 40 ms; it was limited to 4,096 reads whatever they cost.

--- a/src/net/listening.rs
+++ b/src/net/listening.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 
 /// Maximum number of connections that wait to be accepted on a listener.
-const BACKLOG: i32 = 1024;
+pub const BACKLOG: usize = 1024;
 /// Maximum number of consecutive failed connections that one accept call skips; after them it returns an
 /// error, and the caller pauses accepting.
 const MAX_FAILED_ACCEPTS: usize = 64;
@@ -31,7 +31,7 @@
         socket.set_reuse_address(true)?;
         socket.set_reuse_port(shared)?;
         socket.bind(&addr.into())?;
-        socket.listen(BACKLOG)?;
+        socket.listen(BACKLOG as i32)?;
         let mut listener = TcpListener::from_std(socket.into());
         self.watch(&mut listener, number)?;
         Ok(Listener::Tcp(listener))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -31,6 +31,7 @@
 pub use clock::{unix_time, Clock, WallClock};
 pub use connection::ConnectionKey;
 pub use errors::{is_exhausted, is_local_error};
+pub use listening::BACKLOG;
 pub use poll::Ready;
 pub use read_queue::ReadQueue;
 pub use reason::Reason;
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -13,9 +13,9 @@
 
 /// Maximum number of connections of a role accepted per turn, so that open connections do not wait for
 /// hundreds of new ones.
-const ACCEPTS_PER_TURN: usize = 32;
+pub(super) const ACCEPTS_PER_TURN: usize = 32;
 /// Delay before accepting continues after a turn that reached [`ACCEPTS_PER_TURN`].
-const ACCEPT_INTERVAL: Span = Span::from_millis(1);
+pub(super) const ACCEPT_INTERVAL: Span = Span::from_millis(1);
 /// Delay before accepting is tried again after it failed.
 pub(super) const ACCEPT_RETRY_INTERVAL: Span = Span::from_millis(50);
 
@@ -83,17 +83,22 @@
             return self.accept_at(until);
         }
         for role in [Role::Thrift, Role::Signed] {
-            for accepted in 0.. {
-                if accepted == ACCEPTS_PER_TURN {
-                    self.accept_at(self.now + ACCEPT_INTERVAL);
-                    break;
-                }
-                let Some(conn) = self.accept_one(role) else { break };
-                self.open_connection(role, conn);
+            if self.accept_batch(role) {
+                self.accept_at(self.now + ACCEPT_INTERVAL);
             }
         }
     }
 
+    /// Accepts clients' connections on one front. Returns whether it stopped at [`ACCEPTS_PER_TURN`], so that
+    /// more may be waiting.
+    pub(super) fn accept_batch(&mut self, role: Role) -> bool {
+        for _ in 0..ACCEPTS_PER_TURN {
+            let Some(conn) = self.accept_one(role) else { return false };
+            self.open_connection(role, conn);
+        }
+        true
+    }
+
     /// Opens an accepted connection of a client, or refuses it.
     pub(super) fn open_connection(&mut self, role: Role, conn: ConnectionKey) {
         if !self.make_room() {
--- a/src/server/lifecycle.rs
+++ b/src/server/lifecycle.rs
@@ -15,6 +15,8 @@
     Draining {
         /// Time of the signal to stop.
         since: Instant,
+        /// Number of turns in which the listeners' queues were emptied, so that the listeners can be closed.
+        accept_turns: usize,
     },
     /// No more clients are accepted. Open requests are answered, and connections are handed over or closed.
     Closing {
@@ -33,7 +35,14 @@
 impl Phase {
     /// Enters the phase [`Phase::Draining`].
     pub fn begin_shutdown(&mut self, now: Instant) {
-        *self = Phase::Draining { since: now };
+        *self = Phase::Draining { since: now, accept_turns: 0 };
+    }
+
+    /// While draining, counts a turn in which the listeners' queues were emptied. Returns their number.
+    pub fn count_accept_turn(&mut self) -> usize {
+        let Phase::Draining { accept_turns, .. } = self else { return 0 };
+        *accept_turns += 1;
+        *accept_turns
     }
 
     /// Enters the phase [`Phase::Closing`]: the listeners are closed.
@@ -51,7 +60,7 @@
     pub fn shutdown_since(self) -> Option<Instant> {
         match self {
             Phase::Accepting => None,
-            Phase::Draining { since } | Phase::Closing { since, .. } | Phase::Stopped { since } => {
+            Phase::Draining { since, .. } | Phase::Closing { since, .. } | Phase::Stopped { since } => {
                 Some(since)
             }
         }
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -5,16 +5,23 @@
 //! the clients have closed their connections or have had time to. With a newer process, the listeners are
 //! closed at once, and connections are handed over to it.
 
+use super::acceptor::{ACCEPTS_PER_TURN, ACCEPT_INTERVAL};
 use super::deadline::ServerDeadline;
 use super::shutdown_schedule::{ShutdownSchedule, CHECK_INTERVAL};
 use super::Server;
 use crate::deadlines::Schedule;
-use crate::net::{Ready, Reason, Role};
+use crate::interface::Span;
+use crate::net::{Ready, Reason, Role, BACKLOG};
 use tracing::info;
 
 /// Maximum number of turns in which clients' unread requests are read before the process may be killed. A
 /// turn reads some requests of one connection.
 const MAX_FINAL_TURNS: usize = 4096;
+/// Maximum time for that. It ends well before the process may be killed.
+const MAX_FINAL_READ_TIME: Span = Span::from_millis(40);
+/// Maximum number of turns in which waiting connections are accepted before the listeners are closed: enough for
+/// a full queue.
+const MAX_ACCEPT_TURNS: usize = BACKLOG / ACCEPTS_PER_TURN + 1;
 
 impl Server {
     /// Whether the shutdown is complete and the process may end.
@@ -52,13 +59,14 @@
     }
 
     /// Closes the listeners. Connections in a listener's queue would be reset with it, so the queue is
-    /// emptied first. If there are no descriptors for that, this is tried again until the process may be
-    /// killed.
+    /// emptied first, a limited number of connections per turn. Clients that connect again as soon as they
+    /// are closed can keep the queue filled, so this ends once all that waited at first are accepted. If there
+    /// are no descriptors for that, this is tried again until the process may be killed.
     fn stop_accepting(&mut self) {
-        for role in [Role::Thrift, Role::Signed] {
-            while let Some(conn) = self.accept_one(role) {
-                self.open_connection(role, conn);
-            }
+        let may_have_more = [Role::Thrift, Role::Signed].map(|role| self.accept_batch(role)).contains(&true);
+        if may_have_more && self.phase.count_accept_turn() < MAX_ACCEPT_TURNS {
+            self.deadlines.add(self.now + ACCEPT_INTERVAL, ServerDeadline::ShutdownCheck);
+            return;
         }
         if self.is_exhausted() && self.now < self.shutdown_schedule().kill_at() {
             self.deadlines.add(self.now + CHECK_INTERVAL, ServerDeadline::ShutdownCheck);
@@ -125,6 +133,9 @@
         }
         for _ in 0..MAX_FINAL_TURNS {
             let Some(conn) = self.thrift.next_readable_connection() else { break };
+            if self.clock.now() > self.now + MAX_FINAL_READ_TIME {
+                break;
+            }
             self.on_ready(Ready::readable(conn));
             self.core.time_out_all(self.now, &mut self.deadlines);
             self.process_commands();
--- a/tests/sockets/shutdown.rs
+++ b/tests/sockets/shutdown.rs
@@ -72,6 +72,38 @@
     numbers
 }
 
+/// Connects and sends what cannot be read, and the same again as soon as the connection is closed, until connecting is
+/// refused. Runs in a thread of its own.
+fn reconnect_until_refused(addr: std::net::SocketAddr) -> std::thread::JoinHandle<()> {
+    std::thread::spawn(move || {
+        while let Ok(mut stream) = TcpStream::connect(addr) {
+            let _ = stream.write_all(b"not a frame of the protocol");
+            let _ = stream.read_to_end(&mut Vec::new());
+        }
+    })
+}
+
+/// Guards against a shutdown that accepts connections for ever, since their clients connect again as they are evicted:
+/// the requests that were open were never answered.
+#[test]
+fn reconnecting_clients_do_not_delay_exit_past_sigkill() {
+    let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+    let change = |text: &str| with_deadline(2000)(text).replace("\"sockets\":1024", "\"sockets\":64");
+    let mut proxy = Proxy::start("reconnects", &[&cache, &parent], change, &[]);
+    let mut usual = Client::new(&proxy);
+    assert!(usual.ping(1));
+    let crowd: Vec<_> = (0..100).map(|_| reconnect_until_refused(proxy.addr)).collect();
+    usual.send(&request_within(2, "replay", 1000));
+    let _unanswered = cache.next_line();
+    proxy.signal("-TERM");
+    let since = Instant::now();
+    let (seqid, _) = usual.reply();
+    assert_eq!(seqid, 2, "the open request gets its final answer");
+    drop(usual);
+    assert!(wait_for_exit_before_kill(&mut proxy, since, Duration::from_secs(2)).success());
+    crowd.into_iter().for_each(|client| client.join().expect("the thread ends"));
+}
+
 #[test]
 fn sending_clients_do_not_delay_exit_past_sigkill() {
     for longest_ms in [60, 400, 3000, 6000] {
