Admin endpoint: accept a limited number of callers per turn

Cause: Server::accept_admin_callers accepted, read and answered while a caller was waiting, before anything else in a turn.

--- a/src/server/admin_calls.rs
+++ b/src/server/admin_calls.rs
@@ -1,5 +1,6 @@
 //! Operators' calls on the admin endpoint.
 
+use super::acceptor::{ACCEPTS_PER_TURN, ACCEPT_INTERVAL};
 use super::Server;
 use crate::front::admin::{self, AdminAnswer, AdminCall};
 use crate::net::{ConnectionKey, Role};
@@ -20,15 +21,17 @@
 }
 
 impl Server {
-    /// Accepts all waiting connections of the admin endpoint. Each is read at once, since its call has
-    /// usually arrived already.
+    /// Accepts connections of the admin endpoint, at most [`ACCEPTS_PER_TURN`]. Each is read at once, since
+    /// its call has usually arrived already.
     pub(super) fn accept_admin_callers(&mut self) {
-        while let Some(conn) = self.accept_one(Role::Admin) {
+        for _ in 0..ACCEPTS_PER_TURN {
+            let Some(conn) = self.accept_one(Role::Admin) else { return };
             if let Some(admin) = &mut self.admin {
                 admin.open(self.now, conn, &mut self.net, &mut self.deadlines);
             }
             self.on_admin_ready(conn);
         }
+        self.accept_at(self.now + ACCEPT_INTERVAL);
     }
 
     /// Answers the call on a connection of the admin endpoint, if it has arrived in full.
--- a/tests/sockets/admin_endpoint.rs
+++ b/tests/sockets/admin_endpoint.rs
@@ -120,6 +120,31 @@
     proxy.wait_for_log("role=Admin");
 }
 
+/// Guards against callers that keep the event loop to themselves: each that was answered called again at once, and
+/// accepting ended only when no caller was waiting.
+#[test]
+fn callers_that_call_again_at_once_do_not_block_clients() {
+    let (_cache, _parent, proxy, addr) = start_with_admin("again", str::to_owned);
+    let is_over = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..32 {
+            scope.spawn(|| {
+                while !is_over.load(std::sync::atomic::Ordering::Relaxed) {
+                    let Ok(mut stream) = std::net::TcpStream::connect(addr) else { continue };
+                    let _ = stream.write_all(b"GET /stats HTTP/1.1\r\nHost: admin\r\n\r\n");
+                    let _ = stream.read_to_end(&mut Vec::new());
+                }
+            });
+        }
+        let pings = std::panic::catch_unwind(|| {
+            let mut client = Client::new(&proxy);
+            (1..=50).for_each(|seqid| assert!(client.ping(seqid)));
+        });
+        is_over.store(true, std::sync::atomic::Ordering::Relaxed);
+        assert!(pings.is_ok(), "the client is answered");
+    });
+}
+
 #[test]
 fn healthcheck_fails_during_shutdown() {
     let (cache, _parent, mut proxy, addr) = start_with_admin("admin-stops", str::to_owned);
