Limit the time that a turn of the event loop reads from connections

Change: after 20 ms of events, connections that only have something to read are queued; closes, the control feed, operators' calls and writes to servers are still handled at once. Queued connections are read for 20 ms at most, the two fronts and the servers in turns; the rest waits for the next turn, which follows at once. A request that waits so keeps its arrival time. In the simulator no time passes within a turn, so that its plays are not affected by the limits, only by the order of queued reads.

--- a/src/front/signed/reading.rs
+++ b/src/front/signed/reading.rs
@@ -215,6 +215,11 @@
         }
     }
 
+    /// Queues a connection to be read later, although it is readable now.
+    pub fn queue_read(&mut self, conn: ConnectionKey) {
+        self.unread.push(conn);
+    }
+
     /// Removes and returns the first of the connections that may have more to read.
     pub fn next_readable_connection(&mut self) -> Option<ConnectionKey> {
         self.unread.pop()
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -121,6 +121,14 @@
         self.sessions.get(conn).is_some_and(|session| session.has_sent_message)
     }
 
+    /// Queues a connection to be read later, although it is readable now.
+    pub fn queue_read(&mut self, now: Instant, conn: ConnectionKey) {
+        if let Some(session) = self.sessions.get_mut(conn) {
+            session.waiting_since.get_or_insert(now);
+            self.unread.push(conn);
+        }
+    }
+
     /// Removes and returns the first of the connections that may have more to read.
     pub fn next_readable_connection(&mut self) -> Option<ConnectionKey> {
         self.unread.pop()
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! One iteration of the loop is [`Server::turn`]. It passes what is ready to these modules:
 //!
+//! - `turn_time`: limits the time of an iteration, and reads from queued connections.
 //! - `requests`, with `thrift_requests` and `signed_requests`: clients' requests and their answers.
 //! - `commands`: the exchange between the core and the upstream side; `attempt_encoder` encodes attempts for
 //!   the servers' protocol.
@@ -50,6 +51,7 @@
 mod start;
 mod thrift_requests;
 mod translate;
+mod turn_time;
 mod unix_time;
 
 use crate::core::Core;
@@ -148,16 +150,13 @@
         self.net.poll(wait, ready)?;
         self.now = self.clock.now();
         ready.sort_by_key(|event| self.precedence(*event));
-        for event in ready.drain(..) {
-            self.on_ready(event);
-            self.process_commands();
-        }
+        self.handle_events(ready);
         while let Some(deadline) = self.deadlines.pop(self.now) {
             self.on_deadline(deadline);
             self.process_commands();
         }
         self.resume_waiting_for_memory();
-        self.read_waiting_connections();
+        self.read_queued_connections();
         // Attempts are written after all events of the turn are handled, such as changes of the endpoint list
         // and cancelled requests.
         self.process_commands_and_write();
@@ -175,26 +174,6 @@
         }
     }
 
-    /// Reads once more from each connection that reached the limit of its last read and may have more to read.
-    fn read_waiting_connections(&mut self) {
-        for _ in 0..self.thrift.connections_with_more_to_read() {
-            let Some(conn) = self.thrift.next_readable_connection() else { break };
-            self.on_ready(Ready::readable(conn));
-            self.process_commands();
-        }
-        for _ in 0..self.signed_connections_with_more_to_read() {
-            let signed = self.signed.as_mut();
-            let Some(conn) = signed.and_then(|signed| signed.front.next_readable_connection()) else { break };
-            self.on_ready(Ready::readable(conn));
-            self.process_commands();
-        }
-        for _ in 0..self.upstream.connections_with_more_to_read() {
-            let Some(conn) = self.upstream.next_readable_connection() else { break };
-            self.on_ready(Ready::readable(conn));
-            self.process_commands();
-        }
-    }
-
     /// Returns the number of clients' connections that wait to be read again.
     fn connections_with_unread_requests(&self) -> usize {
         self.thrift.connections_with_more_to_read() + self.signed_connections_with_more_to_read()
--- a/src/upstream/reading.rs
+++ b/src/upstream/reading.rs
@@ -192,6 +192,16 @@
         }
     }
 
+    /// Whether a connection belongs to the pool.
+    pub fn owns(&self, key: ConnectionKey) -> bool {
+        self.connections.contains_key(&key)
+    }
+
+    /// Queues a connection to be read later, although it is readable now.
+    pub fn queue_read(&mut self, key: ConnectionKey) {
+        self.unread.push(key);
+    }
+
     /// Removes and returns the first of the connections that had more to read.
     pub fn next_readable_connection(&mut self) -> Option<ConnectionKey> {
         self.unread.pop()
