--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,7 +7,7 @@
 //!   when a newer process takes over).
 //! - `admin`: the admin endpoint for operators.
 //!
-//! Shared by the fronts: `sessions` (a front's connections), `lingering` (closing without losing the last
+//! Shared by the fronts: `sessions` (a front's connections), `unread` (those that wait to be read again), `lingering` (closing without losing the last
 //! answer), `http` (HTTP/1.1 request heads) and `request_handle` (by which a front's caller identifies a
 //! request).
 
@@ -18,5 +18,6 @@
 mod sessions;
 pub mod signed;
 pub mod thrift;
+mod unread;
 
 pub use request_handle::RequestHandle;
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -22,11 +22,12 @@
 pub use session::RequestIndex;
 
 use super::sessions::Sessions;
+use super::unread::UnreadConnections;
 use super::RequestHandle;
 use crate::config::signed::SignedConfig;
 use crate::deadlines::Schedule;
 use crate::interface::{Instant, Span};
-use crate::net::{ConnectionKey, Net, ReadQueue};
+use crate::net::{ConnectionKey, Net};
 use credentials::Keyring;
 use session::{RequestState, Session};
 
@@ -71,10 +72,8 @@
     keyring: Keyring,
     sessions: Sessions<Session>,
     cancelled: Vec<RequestHandle>,
-    /// Connections whose unread requests can be read now, since some of those before them are answered.
-    unread: ReadQueue,
-    /// Connections that may have more to read, and whose input has no memory left.
-    waiting_for_memory: ReadQueue,
+    /// Connections that may have more to read.
+    unread: UnreadConnections,
     /// Whether each connection closes after its next answers, as the process shuts down.
     is_draining: bool,
 }
@@ -87,8 +86,7 @@
             config,
             sessions: Sessions::default(),
             cancelled: Vec::new(),
-            unread: ReadQueue::default(),
-            waiting_for_memory: ReadQueue::default(),
+            unread: UnreadConnections::default(),
             is_draining: false,
         }
     }
--- a/src/front/signed/reading.rs
+++ b/src/front/signed/reading.rs
@@ -11,6 +11,9 @@
 use crate::net::{ConnectionKey, Net, Reason, Role};
 use tracing::info;
 
+/// Maximum number of unread bytes of a connection: more than the longest head, to notice a longer one.
+const MAX_INPUT_BYTES: usize = http::MAX_HEAD_BYTES + 1;
+
 /// The current time on the monotonic clock and as Unix time.
 #[derive(Clone, Copy)]
 struct Now {
@@ -53,7 +56,7 @@
         events: &mut Vec<SignedEvent>,
     ) -> Result<(), Reason> {
         loop {
-            let progress = net.read(conn, http::MAX_HEAD_BYTES + 1)?;
+            let progress = net.read(conn, MAX_INPUT_BYTES)?;
             let Some(session) = self.sessions.get_mut(conn) else { return Ok(()) };
             let requests_before = session.received_requests;
             if progress.bytes > 0 {
@@ -74,9 +77,11 @@
                 return Ok(());
             }
             if progress.is_memory_short {
-                let has_progressed = session.received_requests > requests_before;
-                let queue = if has_progressed { &mut self.unread } else { &mut self.waiting_for_memory };
-                queue.push(conn);
+                if session.received_requests > requests_before {
+                    self.unread.push(conn);
+                } else {
+                    self.unread.push_waiting_for_memory(conn);
+                }
             }
             if !progress.is_buffer_full {
                 return Ok(());
@@ -207,12 +212,7 @@
     /// Queues connections that waited for memory to be read again, as many as there is memory for the longest
     /// head.
     pub fn resume_waiting_for_memory(&mut self, net: &Net) {
-        let mut free = net.free_input_bytes(Role::Signed);
-        while free > http::MAX_HEAD_BYTES {
-            let Some(conn) = self.waiting_for_memory.pop() else { return };
-            self.unread.push(conn);
-            free -= http::MAX_HEAD_BYTES;
-        }
+        self.unread.resume(net.free_input_bytes(Role::Signed), MAX_INPUT_BYTES);
     }
 
     /// Queues a connection to be read later, although it is readable now.
--- a/src/front/thrift/closing.rs
+++ b/src/front/thrift/closing.rs
@@ -69,7 +69,7 @@
             session.awaiting_message_since = session.awaiting_message_since.map(|_| now);
         }
         let is_large = net.unprocessed_bytes(conn) > MIN_INPUT_BYTES;
-        let message_timeout = if is_large && !self.waiting_for_memory.is_empty() {
+        let message_timeout = if is_large && self.unread.needs_memory() {
             MESSAGE_TIMEOUT_WITHOUT_MEMORY
         } else {
             MESSAGE_TIMEOUT
--- a/src/front/thrift/handover.rs
+++ b/src/front/thrift/handover.rs
@@ -51,8 +51,7 @@
             match session.paused_since {
                 Some(since) if !is_end_near && since + HANDOVER_PAUSE <= now => {
                     session.pause_allowed_at = now + HANDOVER_PAUSE;
-                    session.paused_since = None;
-                    self.unread.push(conn);
+                    session.resume(conn, &mut self.unread);
                 }
                 None if is_end_near
                     || (session.open_requests.len() <= max_open && session.pause_allowed_at <= now) =>
@@ -77,8 +76,7 @@
     pub fn resume_reading(&mut self) {
         for (conn, session) in self.sessions.iter_mut() {
             if session.paused_since.is_some() {
-                session.paused_since = None;
-                self.unread.push(conn);
+                session.resume(conn, &mut self.unread);
             }
         }
     }
@@ -87,10 +85,12 @@
     /// count as idle, since its first request is about to arrive.
     pub fn idle_connection(&self, now: Instant, net: &mut Net) -> Option<ConnectionKey> {
         let mut draining = self.sessions.iter().filter(|_| self.is_draining);
-        let is_idle = |conn, session: &Session, net: &mut Net| {
-            !self.unread.contains(conn) && session.is_idle(now, conn, net)
-        };
-        draining.find(|(conn, session)| is_idle(*conn, session, net)).map(|(conn, _)| conn)
+        draining.find(|(conn, session)| self.is_idle(now, *conn, session, net)).map(|(conn, _)| conn)
+    }
+
+    /// Whether a connection is idle and does not wait to be read again.
+    fn is_idle(&self, now: Instant, conn: ConnectionKey, session: &Session, net: &mut Net) -> bool {
+        !self.unread.contains(conn) && session.is_idle(now, conn, net)
     }
 
     /// Closes a connection gracefully if it is still idle.
@@ -102,8 +102,7 @@
         net: &mut Net,
         deadlines: &mut dyn Schedule<SessionDeadline>,
     ) {
-        let is_idle = self.sessions.get(conn).is_some_and(|session| session.is_idle(now, conn, net));
-        if is_idle && !self.unread.contains(conn) {
+        if self.sessions.get(conn).is_some_and(|session| self.is_idle(now, conn, session, net)) {
             self.close_gracefully(now, conn, reason, net, deadlines);
         }
     }
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -24,10 +24,11 @@
 pub use sequence_id::SequenceId;
 
 use super::sessions::Sessions;
+use super::unread::UnreadConnections;
 use super::RequestHandle;
 use crate::deadlines::Schedule;
 use crate::interface::Instant;
-use crate::net::{ConnectionKey, Net, ReadQueue, Role};
+use crate::net::{ConnectionKey, Net, Role};
 use bytes::Bytes;
 use limits::MAX_FRAME_BYTES;
 use session::Session;
@@ -85,9 +86,7 @@
 pub struct ThriftFront {
     sessions: Sessions<Session>,
     /// Connections that reached the limit of a read and may have more to read.
-    unread: ReadQueue,
-    /// Connections that may have more to read, and whose input has no memory left.
-    waiting_for_memory: ReadQueue,
+    unread: UnreadConnections,
     /// Whether connections are closed once they are idle.
     is_draining: bool,
 }
@@ -137,12 +136,7 @@
     /// Queues connections that waited for memory to be read again, as many as there is memory for the longest
     /// frame.
     pub fn resume_waiting_for_memory(&mut self, net: &Net) {
-        let mut free = net.free_input_bytes(Role::Thrift);
-        while free >= MAX_FRAME_BYTES {
-            let Some(conn) = self.waiting_for_memory.pop() else { return };
-            self.unread.push(conn);
-            free -= MAX_FRAME_BYTES;
-        }
+        self.unread.resume(net.free_input_bytes(Role::Thrift), MAX_FRAME_BYTES);
     }
 
     /// Returns the number of connections that wait to be read again.
--- a/src/front/thrift/reading.rs
+++ b/src/front/thrift/reading.rs
@@ -131,7 +131,7 @@
             }
             if progress.is_memory_short {
                 session.waiting_since.get_or_insert(now);
-                self.waiting_for_memory.push(conn);
+                self.unread.push_waiting_for_memory(conn);
             }
             if !progress.is_buffer_full {
                 return Ok(());
--- a/src/front/thrift/session.rs
+++ b/src/front/thrift/session.rs
@@ -4,6 +4,7 @@
 use super::limits::{CHECK_INTERVAL, FIRST_REQUEST_GRACE};
 use super::{SequenceId, SessionDeadline, ThriftEvent};
 use crate::deadlines::{DeadlineHandle, Schedule};
+use crate::front::unread::UnreadConnections;
 use crate::front::{sessions, RequestHandle};
 use crate::interface::Instant;
 use crate::net::{ConnectionKey, Net, Reason};
@@ -125,6 +126,12 @@
             && !has_unused_input(net)
     }
 
+    /// Ends the pause of reading, and queues the connection to be read again.
+    pub(super) fn resume(&mut self, conn: ConnectionKey, unread: &mut UnreadConnections) {
+        self.paused_since = None;
+        unread.push(conn);
+    }
+
     /// Cancels an open request. If the request arrived in the same read and has no handle yet, its event is
     /// removed instead, so that the server never sees it.
     pub(super) fn cancel(&mut self, conn: ConnectionKey, seqid: SequenceId, events: &mut Vec<ThriftEvent>) {
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -82,19 +82,27 @@
         if let Some(until) = self.accept_timer.paused_until(self.now) {
             return self.accept_at(until);
         }
-        for role in [Role::Thrift, Role::Signed] {
-            if self.accept_batch(role) {
+        self.accept_batches(&[Role::Thrift, Role::Signed]);
+    }
+
+    /// Accepts connections of these roles, and schedules the next batch if more may be waiting.
+    pub(super) fn accept_batches(&mut self, roles: &[Role]) {
+        for role in roles {
+            if self.accept_batch(*role) {
                 self.accept_at(self.now + ACCEPT_INTERVAL);
             }
         }
     }
 
-    /// Accepts clients' connections on one front. Returns whether it stopped at [`ACCEPTS_PER_TURN`], so that
-    /// more may be waiting.
+    /// Accepts connections of one role. Returns whether it stopped at [`ACCEPTS_PER_TURN`], so that more may be
+    /// waiting.
     pub(super) fn accept_batch(&mut self, role: Role) -> bool {
         for _ in 0..ACCEPTS_PER_TURN {
             let Some(conn) = self.accept_one(role) else { return false };
-            self.open_connection(role, conn);
+            match role {
+                Role::Admin => self.open_admin_caller(conn),
+                _ => self.open_connection(role, conn),
+            }
         }
         true
     }
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -1,56 +1,14 @@
 //! Tests of `acceptor` on a simulated network whose system calls fail.
 
-use crate::config::Config;
-use crate::interface::{Instant, Span};
+use crate::interface::Span;
 use crate::net::fabric::{host, ActorEvent, Fabric};
-use crate::server::Server;
-use crate::standin::site::{config, Shape};
+use crate::server::simulated_server::{client, SimulatedServer, FRONT, START};
 use crate::standin::thrift_client;
 use rustix::io::Errno;
-use std::net::SocketAddr;
 
-const FRONT: u16 = 1000;
 const MS: Span = Span::from_millis(1);
-const START: Instant = Instant::from_micros(1_000_000);
 const CLIENTS: u16 = 20;
 
-struct SimulatedServer {
-    fabric: Fabric,
-    server: Server,
-    turns: usize,
-}
-
-impl SimulatedServer {
-    fn new() -> Self {
-        let fabric = Fabric::new(START, 1, MS..=MS);
-        fabric.start_process(1);
-        let shape = Shape { points: 1, proxies: 1, caches: 1, hubs: 1, parents: 0, seed: 1 };
-        let mut text = config(&shape, &host(900).to_string(), |n| host(n as u16).to_string());
-        text["listen"] = host(FRONT).to_string().into();
-        let config = Config::parse(text.to_string().as_bytes()).expect("the configuration is valid");
-        let server = Server::start_on(&fabric, 1, config).expect("the server starts");
-        SimulatedServer { fabric, server, turns: 0 }
-    }
-
-    /// Runs the network and the process until a time.
-    fn run_until(&mut self, until: Instant) {
-        let mut ready = Vec::new();
-        loop {
-            let next = self.fabric.next_event_at().into_iter().chain(self.server.next_due()).min();
-            let Some(next) = next.filter(|next| *next <= until) else { break };
-            self.fabric.advance(next);
-            self.fabric.run_due_events();
-            self.server.turn(&mut ready).expect("the turn succeeds");
-            self.turns += 1;
-        }
-        self.fabric.advance(until);
-    }
-
-    fn clients(&self) -> usize {
-        self.server.clients()
-    }
-}
-
 /// Returns the events that a client's connection has received.
 fn received(fabric: &Fabric, link: u64) -> Vec<ActorEvent> {
     let concerns = |signal: &ActorEvent| match signal {
@@ -60,10 +18,6 @@
     fabric.take_actor_events().into_iter().filter(concerns).collect()
 }
 
-fn client(number: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 2, 1], 40_000 + number))
-}
-
 #[test]
 fn aborted_connection_does_not_delay_the_next_accept() {
     for error in [Errno::CONNABORTED, Errno::PROTO, Errno::HOSTUNREACH, Errno::TIMEDOUT] {
--- a/src/server/admin_calls.rs
+++ b/src/server/admin_calls.rs
@@ -1,6 +1,5 @@
 //! Operators' calls on the admin endpoint.
 
-use super::acceptor::{ACCEPTS_PER_TURN, ACCEPT_INTERVAL};
 use super::Server;
 use crate::front::admin::{self, AdminAnswer, AdminCall};
 use crate::net::{ConnectionKey, Role};
@@ -21,17 +20,18 @@
 }
 
 impl Server {
-    /// Accepts connections of the admin endpoint, at most [`ACCEPTS_PER_TURN`]. Each is read at once, since
-    /// its call has usually arrived already.
+    /// Accepts connections of the admin endpoint.
     pub(super) fn accept_admin_callers(&mut self) {
-        for _ in 0..ACCEPTS_PER_TURN {
-            let Some(conn) = self.accept_one(Role::Admin) else { return };
-            if let Some(admin) = &mut self.admin {
-                admin.open(self.now, conn, &mut self.net, &mut self.deadlines);
-            }
-            self.on_admin_ready(conn);
+        self.accept_batches(&[Role::Admin]);
+    }
+
+    /// Opens an accepted connection of the admin endpoint. It is read at once, since its call has usually
+    /// arrived already.
+    pub(super) fn open_admin_caller(&mut self, conn: ConnectionKey) {
+        if let Some(admin) = &mut self.admin {
+            admin.open(self.now, conn, &mut self.net, &mut self.deadlines);
         }
-        self.accept_at(self.now + ACCEPT_INTERVAL);
+        self.on_admin_ready(conn);
     }
 
     /// Answers the call on a connection of the admin endpoint, if it has arrived in full.
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -48,6 +48,8 @@
 mod shutdown_schedule;
 mod signed_endpoint;
 mod signed_requests;
+#[cfg(test)]
+mod simulated_server;
 mod start;
 mod thrift_requests;
 mod translate;
@@ -81,6 +83,7 @@
 use signal_hook_mio::v1_0::Signals;
 use signed_endpoint::SignedEndpoint;
 pub use signed_endpoint::{route_classes, RouteClass};
+use turn_time::ReadSide;
 
 /// The numbers of the event sources with which the processes of one edge proxy watch each other. The
 /// simulator wakes these sources when a process ends.
@@ -131,7 +134,7 @@
 
     /// Returns when the next turn is due even if no event comes; `None` if only an event makes one due.
     pub fn next_due(&self) -> Option<Instant> {
-        if self.connections_with_unread_requests() + self.upstream.connections_with_more_to_read() > 0 {
+        if self.connections_with_unread_requests() + self.queued_reads(ReadSide::Upstream) > 0 {
             Some(self.now)
         } else {
             self.deadlines.next()
@@ -176,11 +179,7 @@
 
     /// Returns the number of clients' connections that wait to be read again.
     fn connections_with_unread_requests(&self) -> usize {
-        self.thrift.connections_with_more_to_read() + self.signed_connections_with_more_to_read()
-    }
-
-    fn signed_connections_with_more_to_read(&self) -> usize {
-        self.signed.as_ref().map_or(0, |signed| signed.front.connections_with_more_to_read())
+        self.queued_reads(ReadSide::Thrift) + self.queued_reads(ReadSide::Signed)
     }
 
     fn on_ready(&mut self, ready: Ready) {
--- a/src/server/turn_time.rs
+++ b/src/server/turn_time.rs
@@ -3,13 +3,25 @@
 
 use super::Server;
 use crate::interface::{Instant, Span};
-use crate::net::Ready;
+use crate::net::{ConnectionKey, Ready};
 
 /// Time after which the readiness events of a turn only queue their connections to be read.
 const MAX_EVENT_TIME: Span = Span::from_millis(20);
 /// Time after which no more queued connections are read in a turn.
 const MAX_QUEUED_READ_TIME: Span = Span::from_millis(20);
 
+/// A part of the server that queues connections to be read again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadSide {
+    Thrift,
+    Signed,
+    Upstream,
+}
+
+impl ReadSide {
+    const ALL: [ReadSide; 3] = [ReadSide::Thrift, ReadSide::Signed, ReadSide::Upstream];
+}
+
 impl Server {
     /// Handles the readiness events of a turn. Each is handled at once while there is time; after that,
     /// connections that only have something to read are queued.
@@ -51,33 +63,34 @@
     /// turns, so that none of them waits for all connections of another.
     pub(super) fn read_queued_connections(&mut self) {
         let until = self.clock.now() + MAX_QUEUED_READ_TIME;
-        let mut thrift = self.thrift.connections_with_more_to_read();
-        let mut signed = self.signed_connections_with_more_to_read();
-        let mut upstream = self.upstream.connections_with_more_to_read();
-        while thrift + signed + upstream > 0 && self.clock.now() <= until {
-            if thrift > 0 {
-                thrift -= 1;
-                let conn = self.thrift.next_readable_connection();
-                self.read_queued(conn.map(Ready::readable));
-            }
-            if signed > 0 {
-                signed -= 1;
-                let front = self.signed.as_mut().map(|signed| &mut signed.front);
-                let conn = front.and_then(|front| front.next_readable_connection());
-                self.read_queued(conn.map(Ready::readable));
+        let mut left = ReadSide::ALL.map(|side| self.queued_reads(side));
+        while left.iter().any(|left| *left > 0) && self.clock.now() <= until {
+            for (side, left) in ReadSide::ALL.into_iter().zip(&mut left).filter(|(_, left)| **left > 0) {
+                *left -= 1;
+                if let Some(conn) = self.next_queued_read(side) {
+                    self.on_ready(Ready::readable(conn));
+                    self.process_commands();
+                }
             }
-            if upstream > 0 {
-                upstream -= 1;
-                let conn = self.upstream.next_readable_connection();
-                self.read_queued(conn.map(Ready::readable));
+        }
+    }
+
+    /// Returns the number of connections that wait to be read again.
+    pub(super) fn queued_reads(&self, side: ReadSide) -> usize {
+        match side {
+            ReadSide::Thrift => self.thrift.connections_with_more_to_read(),
+            ReadSide::Signed => {
+                self.signed.as_ref().map_or(0, |signed| signed.front.connections_with_more_to_read())
             }
+            ReadSide::Upstream => self.upstream.connections_with_more_to_read(),
         }
     }
 
-    fn read_queued(&mut self, event: Option<Ready>) {
-        if let Some(event) = event {
-            self.on_ready(event);
-            self.process_commands();
+    fn next_queued_read(&mut self, side: ReadSide) -> Option<ConnectionKey> {
+        match side {
+            ReadSide::Thrift => self.thrift.next_readable_connection(),
+            ReadSide::Signed => self.signed.as_mut()?.front.next_readable_connection(),
+            ReadSide::Upstream => self.upstream.next_readable_connection(),
         }
     }
 }
--- a/src/server/turn_time/tests.rs
+++ b/src/server/turn_time/tests.rs
@@ -1,34 +1,23 @@
 //! Tests of `turn_time` on a simulated network.
 
 use super::*;
-use crate::config::Config;
-use crate::net::fabric::{host, ActorEvent, Fabric};
-use crate::standin::site::{config, Shape};
+use crate::net::fabric::{host, ActorEvent};
+use crate::server::simulated_server::{client, SimulatedServer, FRONT, START};
 use crate::standin::thrift_client;
-use std::net::SocketAddr;
 
-const FRONT: u16 = 1000;
 const MS: Span = Span::from_millis(1);
-const START: Instant = Instant::from_micros(1_000_000);
 const CLIENTS: u16 = 5;
 
 /// Guards against a turn that lasts as long as all ready connections together need: after its time, they are
 /// only queued, and read in the next turns.
 #[test]
 fn connections_that_are_ready_after_the_time_of_a_turn_are_read_in_the_next() {
-    let fabric = Fabric::new(START, 1, MS..=MS);
-    fabric.start_process(1);
-    let shape = Shape { points: 1, proxies: 1, caches: 1, hubs: 1, parents: 0, seed: 1 };
-    let mut text = config(&shape, &host(900).to_string(), |n| host(n as u16).to_string());
-    text["listen"] = host(FRONT).to_string().into();
-    let config = Config::parse(text.to_string().as_bytes()).expect("the configuration is valid");
-    let mut server = Server::start_on(&fabric, 1, config).expect("the server starts");
+    let SimulatedServer { fabric, mut server, .. } = SimulatedServer::new();
     let mut ready = Vec::new();
     let advance = |to| {
         fabric.advance(to);
         fabric.run_due_events();
     };
-    let client = |number| SocketAddr::from(([127, 0, 2, 1], 40_000 + number));
     let links: Vec<u64> =
         (0..CLIENTS).map(|number| fabric.connect_client(client(number), host(FRONT))).collect();
     advance(START + 2 * MS);
