--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review. `cases NAME FOLDER` plays one case and writes `record.txt` into the folder.
 //! It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
+mod held_input;
 mod unread_answers;
 mod world;
 
@@ -21,6 +22,7 @@
     let record = world::Record::new();
     world::watch_time(&record, &folder, 110);
     let outcome: Outcome = match name.as_str() {
+        "held-input" => held_input::run(&record, has_trouble),
         "unread-answers" => unread_answers::run(&record, has_trouble),
         _ => Err("there is no such case".into()),
     };
