--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,7 +2,6 @@
 //! It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
 mod held_input;
-mod lost_watch;
 mod shorter_deadline;
 mod unread_answers;
 mod world;
@@ -25,7 +24,6 @@
     world::watch_time(&record, &folder, 110);
     let outcome: Outcome = match name.as_str() {
         "held-input" => held_input::run(&record, has_trouble),
-        "lost-watch" => lost_watch::run(&record, has_trouble),
         "unread-answers" => unread_answers::run(&record, has_trouble),
         "shorter-deadline" => shorter_deadline::run(&record, has_trouble),
         _ => Err("there is no such case".into()),
