Review: more bad clients in case 7, and what the servers ran in each record

Change: 480 bad clients; the stand-in servers answer from one thread a connection, and each record lists what they got.

--- a/review/standin-2/held_input.rs
+++ b/review/standin-2/held_input.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 const USUAL_CLIENTS: usize = 6;
-const BAD_CLIENTS: usize = 440;
+const BAD_CLIENTS: usize = 480;
 /// How long usual clients ask.
 const PLAY: Duration = Duration::from_secs(20);
 /// The length of a usual write's body; the protocol allows 48,000.
@@ -31,7 +31,7 @@
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Outcome {
     let space = Workspace::new();
     let servers = deployment(record, 20, 20_000);
-    let feed = Feed::start(whole_list(&servers), record);
+    let feed = Feed::start(whole_list(&servers));
     let site = Site {
         classes: vec![REPLAY, PIECE, RESULT],
         memory_mb: 32,
@@ -65,19 +65,18 @@
         let _ = client.join();
     }
     let crashed = proxy.has_ended();
+    note_runs(&servers, record);
     let counts = lock(&counts);
     let Counts { served, refused, failed, lost, other } = *counts;
     record.note(format!(
         "usual writes: served {served}, refused {refused}, failed {failed}, lost {lost}, other {other}"
     ));
-    let ends = proxy.log_text();
-    let ends_of = |code: &str| ends.lines().filter(|line| line.contains(&format!("end={code}"))).count();
-    record.note(format!(
-        "log: head-timeout {}, evicted {}, idle {}",
-        ends_of("head-timeout"),
-        ends_of("evicted"),
-        ends_of("idle")
-    ));
+    // The bad clients' connections are written nothing.
+    let log = proxy.log_text();
+    let is_usual = |line: &&str| line.contains("role=Thrift") && !line.contains(" wrote=0");
+    for line in log.lines().filter(|line| is_usual(line) || line.contains("closing gracefully")) {
+        record.note(format!("log: {line}"));
+    }
     if crashed {
         return Err("the edge proxy ended".into());
     }
@@ -120,14 +119,7 @@
     counts: &Mutex<Counts>,
 ) -> Option<End> {
     let (id, patience) = (trace(), PATIENCE_MS.to_string());
-    let fields = [
-        ("route", RESULT.name),
-        ("trace", id.as_str()),
-        ("patience", patience.as_str()),
-        ("entity", "7f3a9c21e0b4d655"),
-        ("slice", "0"),
-        ("set", "17"),
-    ];
+    let fields = request_fields(RESULT.name, &id, &patience, "7f3a9c21e0b4d655");
     let frame = invoke(seqid, &fields, &vec![b'r'; WRITE_BYTES]);
     let begun = Instant::now();
     if stream.write_all(&frame).is_err() {
--- a/review/standin-2/shorter_deadline.rs
+++ b/review/standin-2/shorter_deadline.rs
@@ -25,7 +25,7 @@
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Outcome {
     let space = Workspace::new();
     let servers = deployment(record, SERVICE_MS, 20_000);
-    let feed = Feed::start(whole_list(&servers), record);
+    let feed = Feed::start(whole_list(&servers));
     let piece = Class { deadline: DEADLINE_MS, ..PIECE };
     let result = Class { deadline: DEADLINE_MS, ..RESULT };
     let all = vec![REPLAY, piece.clone(), result.clone()];
@@ -72,7 +72,7 @@
             while let Ok(frame) = read_frame(&mut stream) {
                 let Some((seqid, end, body)) = parse_answer(&frame) else { break };
                 if let Some(sent) = lock(&sent).get_mut(&seqid) {
-                    let is_right = end != End::Served || body == object_bytes(&sent.entity, 20_000);
+                    let is_right = end != End::Served || body == object_bytes(&sent.entity, PIECE_BYTES);
                     sent.answer.get_or_insert((record.now(), if is_right { end } else { End::Wrong }));
                 }
             }
@@ -120,6 +120,7 @@
     let _ = stream.shutdown(std::net::Shutdown::Both);
     let _ = reader.join();
     let new_ended = new.has_ended();
+    note_runs(&servers, record);
     let (mut lost, mut answered) = (0, BTreeMap::new());
     for (seqid, request) in lock(&sent).iter() {
         let after_term = request.at.as_secs_f64() - told_to_end.as_secs_f64();
@@ -176,14 +177,7 @@
         seqid += 1;
         let (id, patience) = (trace(), DEADLINE_MS.to_string());
         let entity = format!("{:016x}", u64::from(seqid % 40) * 0x1_0001 + 7);
-        let fields = [
-            ("route", PIECE.name),
-            ("trace", id.as_str()),
-            ("patience", patience.as_str()),
-            ("entity", entity.as_str()),
-            ("slice", "0"),
-            ("set", "17"),
-        ];
+        let fields = request_fields(PIECE.name, &id, &patience, &entity);
         lock(sent).insert(seqid, Sent { at: record.now(), answer: None, entity: entity.clone() });
         if stream.write_all(&invoke(seqid, &fields, &[])).is_err() {
             lock(sent).remove(&seqid);
--- a/review/standin-2/unread_answers.rs
+++ b/review/standin-2/unread_answers.rs
@@ -25,7 +25,7 @@
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Outcome {
     let space = Workspace::new();
     let servers = deployment(record, 20, OBJECT_BYTES);
-    let feed = Feed::start(whole_list(&servers), record);
+    let feed = Feed::start(whole_list(&servers));
     let site = Site {
         classes: vec![Class { deadline: PATIENCE_MS, ..REPLAY }, PIECE, RESULT],
         memory_mb: 64,
@@ -54,6 +54,7 @@
     for line in proxy.log_text().lines().filter(|line| line.contains("role=Thrift")) {
         record.note(format!("log: {line}"));
     }
+    note_runs(&servers, record);
     record.note(format!("lost {lost} of {CLIENTS}"));
     if proxy.has_ended() {
         return Err("the edge proxy ended".into());
@@ -155,14 +156,7 @@
         body: &[u8],
     ) -> std::io::Result<()> {
         let id = trace();
-        let fields = [
-            ("route", class),
-            ("trace", id.as_str()),
-            ("patience", patience),
-            ("entity", entity),
-            ("slice", "0"),
-            ("set", "17"),
-        ];
+        let fields = request_fields(class, &id, patience, entity);
         self.stream.write_all(&invoke(seqid, &fields, body))
     }
 
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -9,6 +9,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -53,6 +54,11 @@
         lock(&self.lines).push((at, line.into()));
     }
 
+    /// Notes what happened at an earlier time.
+    pub fn note_at(&self, at: Duration, line: impl Into<String>) {
+        lock(&self.lines).push((at, line.into()));
+    }
+
     /// Returns the time since the start.
     pub fn now(&self) -> Duration {
         self.start.elapsed()
@@ -294,6 +300,11 @@
     (0..length).map(|at| seed.wrapping_add((at % 251) as u8)).collect()
 }
 
+/// The length of a `piece`.
+pub const PIECE_BYTES: usize = 20_000;
+/// The length of the answer to a `result`.
+const RESULT_BYTES: usize = 64;
+
 /// A stand-in table cache, parent or origin. A cache that is named a source answers any miss as filled, after its
 /// service time; one that is not answers `404`.
 pub struct Server {
@@ -302,15 +313,22 @@
     pub site: &'static str,
     pub kind: &'static str,
     pub share: u32,
-    pub fetches: Mutex<Vec<Fetch>>,
-    /// Service time in milliseconds.
-    pub service_ms: AtomicU64,
-    /// The length of objects.
-    pub object_bytes: usize,
+    fetches: Mutex<Vec<Fetch>>,
+    /// How long it takes until it begins an answer.
+    service: Duration,
+    /// The length of a `replay`.
+    replay_bytes: usize,
     born: u64,
     record: Arc<Record>,
 }
 
+/// A request that a connection has to answer.
+struct Due {
+    at: Instant,
+    fetch: Fetch,
+    item: String,
+}
+
 impl Server {
     pub fn start(
         name: &str,
@@ -318,7 +336,7 @@
         kind: &'static str,
         share: u32,
         service_ms: u64,
-        object_bytes: usize,
+        replay_bytes: usize,
         record: &Arc<Record>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -329,8 +347,8 @@
             kind,
             share,
             fetches: Mutex::new(Vec::new()),
-            service_ms: AtomicU64::new(service_ms),
-            object_bytes,
+            service: ms(service_ms),
+            replay_bytes,
             born: unix_ms(),
             record: record.clone(),
         });
@@ -357,6 +375,18 @@
         let Ok(writer) = stream.try_clone() else { return };
         let writer = Arc::new(Mutex::new(writer));
         let given_up: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (due, answers) = mpsc::channel::<Due>();
+        {
+            let (server, writer, given_up) = (self.clone(), writer.clone(), given_up.clone());
+            thread::spawn(move || {
+                for due in answers {
+                    thread::sleep(due.at.saturating_duration_since(Instant::now()));
+                    if !lock(&given_up).contains(&due.fetch.id) {
+                        let _ = lock(&writer).write_all(&server.answer(&due));
+                    }
+                }
+            });
+        }
         let mut reader = BufReader::new(stream);
         loop {
             match reader.fill_buf() {
@@ -376,7 +406,7 @@
                     if reader.read_exact(&mut body).is_err() {
                         break;
                     }
-                    self.clone().fetch(at, id, fields, &writer, &given_up);
+                    let _ = due.send(self.take(at, id, fields));
                 }
                 ["abort", id] => lock(&given_up).push(id.to_owned()),
                 ["alive", tag] => drop(write!(lock(&writer), "{tag} alive - 0\r\n")),
@@ -387,45 +417,46 @@
         let _ = lock(&writer).shutdown(std::net::Shutdown::Both);
     }
 
-    fn fetch(
-        self: Arc<Self>,
-        at: Duration,
-        id: &str,
-        fields: &str,
-        writer: &Arc<Mutex<TcpStream>>,
-        given_up: &Arc<Mutex<Vec<String>>>,
-    ) {
+    /// Takes a request whose first byte came at `at`.
+    fn take(&self, at: Duration, id: &str, fields: &str) -> Due {
         let fields: BTreeMap<&str, &str> =
             fields.split(',').filter_map(|pair| pair.split_once('=')).collect();
         let field = |name: &str| fields.get(name).copied().unwrap_or_default().to_owned();
         let from = fields.get("from").map(|from| (*from).to_owned());
-        let (class, item, id) = (field("cls"), field("item"), id.to_owned());
-        lock(&self.fetches).push(Fetch { at, id: id.clone(), class: class.clone(), from: from.clone() });
-        let wait = ms(self.service_ms.load(Ordering::Relaxed));
-        let (writer, given_up) = (writer.clone(), given_up.clone());
-        thread::spawn(move || {
-            thread::sleep(wait);
-            if lock(&given_up).contains(&id) {
-                return;
-            }
-            let answer = if from.is_none() && self.kind != "origin" {
-                format!("{id} 404 tell=not_there 0\r\n").into_bytes()
-            } else {
-                let body = object_bytes(&item, if class == RESULT.name { 64 } else { self.object_bytes });
-                let head = format!(
-                    "{id} 200 ver=v1,born={},tell=pulled,waited=1,meter=rif:1 {}\r\n",
-                    self.born,
-                    body.len()
-                );
-                [head.as_bytes(), &body, b"\r\n"].concat()
-            };
-            let _ = lock(&writer).write_all(&answer);
-        });
+        let fetch = Fetch { at, id: id.to_owned(), class: field("cls"), from };
+        lock(&self.fetches).push(fetch.clone());
+        Due { at: Instant::now() + self.service, fetch, item: field("item") }
+    }
+
+    fn answer(&self, due: &Due) -> Vec<u8> {
+        let Fetch { id, class, from, .. } = &due.fetch;
+        if from.is_none() && self.kind != "origin" {
+            return format!("{id} 404 tell=not_there 0\r\n").into_bytes();
+        }
+        let length = match class.as_str() {
+            "result" => RESULT_BYTES,
+            "piece" => PIECE_BYTES,
+            _ => self.replay_bytes,
+        };
+        let body = object_bytes(&due.item, length);
+        let head =
+            format!("{id} 200 ver=v1,born={},tell=pulled,waited=1,meter=rif:1 {length}\r\n", self.born);
+        [head.as_bytes(), &body, b"\r\n"].concat()
+    }
+}
+
+/// Writes into the record what the servers ran.
+pub fn note_runs(servers: &[Arc<Server>], record: &Record) {
+    for server in servers {
+        for Fetch { at, id, class, from } in lock(&server.fetches).iter() {
+            let source = from.as_deref().unwrap_or("none");
+            record.note_at(*at, format!("{} got {id} of class {class}, source {source}", server.name));
+        }
     }
 }
 
 /// A small deployment: three table caches at `edge-1`, two parents and the origin at `north`.
-pub fn deployment(record: &Arc<Record>, service_ms: u64, object_bytes: usize) -> Vec<Arc<Server>> {
+pub fn deployment(record: &Arc<Record>, service_ms: u64, replay_bytes: usize) -> Vec<Arc<Server>> {
     let plan = [
         ("s-00000a11", "edge-1", "small", 24),
         ("s-00000b22", "edge-1", "small", 24),
@@ -435,7 +466,7 @@
         ("s-00000f66", "north", "origin", 96),
     ];
     let start =
-        |(name, site, kind, share)| Server::start(name, site, kind, share, service_ms, object_bytes, record);
+        |(name, site, kind, share)| Server::start(name, site, kind, share, service_ms, replay_bytes, record);
     plan.into_iter().map(start).collect()
 }
 
@@ -458,23 +489,15 @@
     pub address: SocketAddr,
     state: Mutex<FeedState>,
     changed: Condvar,
-    /// How much later than it could an answer is written, in milliseconds.
-    pub late_ms: AtomicU64,
-    /// The number of the last event that an answer has told, written whole to a connection that was still open.
-    pub told: AtomicU64,
-    record: Arc<Record>,
 }
 
 impl Feed {
-    pub fn start(first: String, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(first: String) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let feed = Arc::new(Feed {
             address: listener.local_addr().expect("an address"),
             state: Mutex::new(FeedState { events: vec![first] }),
             changed: Condvar::new(),
-            late_ms: AtomicU64::new(0),
-            told: AtomicU64::new(0),
-            record: record.clone(),
         });
         let accepting = feed.clone();
         thread::spawn(move || {
@@ -491,13 +514,6 @@
         body(&lock(&self.state).events, 0)
     }
 
-    /// Adds an event.
-    pub fn tell(&self, event: String) {
-        self.record.note(format!("feed: has the event {event}"));
-        lock(&self.state).events.push(event);
-        self.changed.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
@@ -530,7 +546,6 @@
                 state = self.changed.wait_timeout(state, left).unwrap_or_else(PoisonError::into_inner).0;
             }
             drop(state);
-            thread::sleep(ms(self.late_ms.load(Ordering::Relaxed)));
             let events = lock(&self.state).events.clone();
             let text = body(&events, after.min(events.len()));
             let answer = format!(
@@ -540,14 +555,6 @@
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
-            // A peer that has closed shows here, so that only what was taken counts as told.
-            let _ = writer.set_read_timeout(Some(ms(1)));
-            let ended = matches!(writer.peek(&mut [0]), Ok(0));
-            let _ = writer.set_read_timeout(None);
-            if ended {
-                return;
-            }
-            self.told.fetch_max(events.len() as u64, Ordering::Relaxed);
         }
     }
 }
@@ -610,6 +617,23 @@
     message(1, "invoke", seqid, &arguments)
 }
 
+/// Returns the fields of a request for the first part of an object of the group 17.
+pub fn request_fields<'a>(
+    class: &'a str,
+    trace: &'a str,
+    patience: &'a str,
+    entity: &'a str,
+) -> [(&'a str, &'a str); 6] {
+    [
+        ("route", class),
+        ("trace", trace),
+        ("patience", patience),
+        ("entity", entity),
+        ("slice", "0"),
+        ("set", "17"),
+    ]
+}
+
 static LAST_TRACE: AtomicU64 = AtomicU64::new(1);
 
 /// Returns a trace id that no other request of this run has.
