Reject requests without input memory instead of closing their connections

Cause: the clients of a front share a tenth of the memory for input. A connection for which there is none is read up to 2 KiB and waits, while the timeout of an unfinished message runs on as if its client had not sent the rest. The wait grows with the number of bad clients, and new connections took freed memory ahead of those that waited.

Change: the timeout does not run while there is no memory to read the message. After 500 ms the message is skipped: what was read of it is freed, the rest is dropped as it arrives, and its request is rejected once it has arrived in full. So a request that was sent in full gets an answer however long the queue is. Clients that have sent a complete message get memory first, and nobody overtakes those that wait. A connection is read once more before it is closed for an unfinished message. Related paths with the same cause: an unfinished message beside an open request no longer keeps its memory until the answer (skipped after 250 ms while others wait), a shutdown rejects what still waits for memory, and no connection is handed over in the middle of a skipped message. The checks of timeouts have a module of their own.

--- a/src/front/signed/reading.rs
+++ b/src/front/signed/reading.rs
@@ -80,7 +80,7 @@
                 if session.received_requests > requests_before {
                     self.unread.push(conn);
                 } else {
-                    self.unread.push_waiting_for_memory(conn);
+                    self.unread.push_waiting_for_memory(conn, session.received_requests > 0);
                 }
             }
             if !progress.is_buffer_full {
--- a/src/front/thrift/arrivals.rs
+++ b/src/front/thrift/arrivals.rs
@@ -38,6 +38,11 @@
         Some(at)
     }
 
+    /// Returns when the first of the bytes arrived; `None` if there are none.
+    pub(super) fn oldest(&self) -> Option<Instant> {
+        self.0.front().map(|first| first.at)
+    }
+
     pub(super) fn clear(&mut self) {
         self.0.clear();
     }
--- a/src/front/thrift/closing.rs
+++ b/src/front/thrift/closing.rs
@@ -1,95 +1,15 @@
-//! Closing of clients' connections: timeouts, graceful and immediate closing.
+//! Graceful and immediate closing of clients' connections.
 
-use super::limits::{
-    CHECK_INTERVAL, IDLE_TIMEOUT, LINGER_TIMEOUT, MESSAGE_TIMEOUT, MESSAGE_TIMEOUT_WITHOUT_MEMORY,
-    WRITE_STALL_TIMEOUT,
-};
 use super::session::OpenRequests;
 use super::{SessionDeadline, ThriftEvent, ThriftFront};
 use crate::deadlines::Schedule;
 use crate::front::lingering;
 use crate::front::RequestHandle;
 use crate::interface::Instant;
-use crate::net::{ConnectionKey, Net, Reason, MIN_INPUT_BYTES};
+use crate::net::{ConnectionKey, Net, Reason};
 use tracing::info;
 
-/// Result of checking a connection's timeouts.
-enum TimeoutCheck {
-    Passed,
-    CloseGracefully(Reason),
-    Close(Reason),
-    /// The connection was unused for [`IDLE_TIMEOUT`], but may have input that was not read yet.
-    Idle,
-}
-
 impl ThriftFront {
-    /// Checks a connection's timeouts and closes it if one has passed.
-    pub fn deadline_passed(
-        &mut self,
-        now: Instant,
-        SessionDeadline(conn): SessionDeadline,
-        net: &mut Net,
-        deadlines: &mut dyn Schedule<SessionDeadline>,
-    ) -> Vec<ThriftEvent> {
-        match self.check_timeouts(now, conn, net, deadlines) {
-            TimeoutCheck::Passed => Vec::new(),
-            TimeoutCheck::CloseGracefully(reason) => self.close_gracefully(now, conn, reason, net, deadlines),
-            TimeoutCheck::Close(reason) => self.close(now, conn, reason, net, deadlines),
-            TimeoutCheck::Idle => {
-                // A request that has just arrived is still read, and keeps the connection open.
-                let events = self.on_ready(now, conn, false, net, deadlines);
-                let session = self.sessions.get(conn);
-                if session.is_some_and(|session| session.last_active + IDLE_TIMEOUT <= now) {
-                    self.close(now, conn, Reason::Idle, net, deadlines);
-                }
-                events
-            }
-        }
-    }
-
-    fn check_timeouts(
-        &mut self,
-        now: Instant,
-        conn: ConnectionKey,
-        net: &mut Net,
-        deadlines: &mut dyn Schedule<SessionDeadline>,
-    ) -> TimeoutCheck {
-        let Some(session) = self.sessions.get_mut(conn) else { return TimeoutCheck::Passed };
-        session.check_deadline = deadlines.add(now + CHECK_INTERVAL, SessionDeadline(conn));
-        let written_bytes = net.written_bytes(conn);
-        let has_unwritten = net.unwritten_bytes(conn) > 0;
-        if written_bytes != session.written_bytes || !has_unwritten {
-            session.written_bytes = written_bytes;
-            session.last_write_progress = now;
-        }
-        let is_quiet = session.open_requests.is_empty() && !has_unwritten && !self.unread.contains(conn);
-        if !is_quiet {
-            // A client may read its answers before it sends the rest of a message that it has begun, so the
-            // timeout of this message starts after them.
-            session.awaiting_message_since = session.awaiting_message_since.map(|_| now);
-        }
-        let is_large = net.unprocessed_bytes(conn) > MIN_INPUT_BYTES;
-        let message_timeout = if is_large && self.unread.needs_memory() {
-            MESSAGE_TIMEOUT_WITHOUT_MEMORY
-        } else {
-            MESSAGE_TIMEOUT
-        };
-        let is_over = |since: Option<Instant>, limit| since.is_some_and(|since| since + limit <= now);
-        if is_over(session.lingering_since, LINGER_TIMEOUT) {
-            TimeoutCheck::Close(Reason::Done)
-        } else if session.last_write_progress + WRITE_STALL_TIMEOUT <= now {
-            TimeoutCheck::Close(Reason::Stalled)
-        } else if session.lingering_since.is_some() || !is_quiet {
-            TimeoutCheck::Passed // open requests are not cancelled because of an incomplete message
-        } else if is_over(session.awaiting_message_since, message_timeout) {
-            TimeoutCheck::CloseGracefully(Reason::HeadTimeout)
-        } else if session.last_active + IDLE_TIMEOUT <= now {
-            TimeoutCheck::Idle
-        } else {
-            TimeoutCheck::Passed
-        }
-    }
-
     /// Closes a connection gracefully: it lingers, and its open requests are cancelled.
     pub(super) fn close_gracefully(
         &mut self,
--- a/src/front/thrift/codec/mod.rs
+++ b/src/front/thrift/codec/mod.rs
@@ -11,7 +11,7 @@
 
 pub use error::DecodeError;
 pub use format::LENGTH_BYTES;
-pub use reading::{decode_call, Call, Method};
+pub use reading::{decode_call, decode_call_start, Call, CallStart, Method};
 pub use writing::{encode_reply, ExceptionKind, ThriftReply};
 
 #[cfg(test)]
--- a/src/front/thrift/codec/reading.rs
+++ b/src/front/thrift/codec/reading.rs
@@ -20,6 +20,17 @@
     pub method: Method,
 }
 
+/// What the first bytes of a call tell of it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct CallStart {
+    /// The sequence number, which the reply repeats.
+    pub seqid: SequenceId,
+    /// The method's name, which an exception repeats.
+    pub name: String,
+    /// The fields of the request, if the method is `invoke`; empty if they are not complete.
+    pub fields: Option<BTreeMap<String, String>>,
+}
+
 /// A method with its arguments.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Method {
@@ -48,15 +59,7 @@
 /// with invalid arguments. Other arguments that cannot be decoded give [`Method::Malformed`].
 pub fn decode_call(frame: Bytes) -> Result<Call, DecodeError> {
     let mut reader = Reader { bytes: frame };
-    let first_word = reader.i32()? as u32;
-    if first_word & VERSION_MASK != VERSION {
-        return Err(DecodeError::NotStrictProtocol);
-    }
-    if !matches!(first_word & MESSAGE_TYPE_MASK, message_type::CALL | message_type::ONEWAY) {
-        return Err(DecodeError::NotACall);
-    }
-    let name = reader.text()?;
-    let seqid = SequenceId(reader.i32()?);
+    let (name, seqid) = reader.call_head()?;
     let method = match name.as_str() {
         method::INVOKE => reader.invoke_arguments(),
         // `abort` is one-way, so invalid arguments cannot be answered with an exception: the whole message
@@ -68,6 +71,31 @@
     Ok(Call { seqid, name, method: method.unwrap_or_else(Method::Malformed) })
 }
 
+/// Decodes as much as possible of a message of which only the first bytes are known.
+///
+/// # Errors
+///
+/// The message's head is not complete or cannot be decoded, so no sequence number is known for an answer.
+pub fn decode_call_start(start: Bytes) -> Result<CallStart, DecodeError> {
+    let mut reader = Reader { bytes: start };
+    let (name, seqid) = reader.call_head()?;
+    let is_request = name == method::INVOKE;
+    let fields = is_request.then(|| {
+        let mut arguments = InvokeArguments::default();
+        // The error tells only that the rest of the message is missing.
+        let _ = reader.read_invoke_arguments(&mut arguments);
+        arguments.fields.unwrap_or_default()
+    });
+    Ok(CallStart { seqid, name, fields })
+}
+
+/// The arguments of `invoke`, as far as they were read.
+#[derive(Default)]
+struct InvokeArguments {
+    fields: Option<BTreeMap<String, String>>,
+    body: Bytes,
+}
+
 /// Whether a field was read.
 #[derive(PartialEq, Eq)]
 enum FieldUse {
@@ -145,18 +173,34 @@
         }
     }
 
+    /// Reads what precedes the arguments: the method's name and the sequence number.
+    fn call_head(&mut self) -> Result<(String, SequenceId), DecodeError> {
+        let first_word = self.i32()? as u32;
+        if first_word & VERSION_MASK != VERSION {
+            return Err(DecodeError::NotStrictProtocol);
+        }
+        if !matches!(first_word & MESSAGE_TYPE_MASK, message_type::CALL | message_type::ONEWAY) {
+            return Err(DecodeError::NotACall);
+        }
+        Ok((self.text()?, SequenceId(self.i32()?)))
+    }
+
     fn invoke_arguments(&mut self) -> Result<Method, DecodeError> {
-        let mut map = None;
-        let mut body = Bytes::new();
+        let mut arguments = InvokeArguments::default();
+        self.read_invoke_arguments(&mut arguments)?;
+        let InvokeArguments { fields, body } = arguments;
+        Ok(Method::Invoke { fields: fields.ok_or(DecodeError::MissingFields)?, body })
+    }
+
+    fn read_invoke_arguments(&mut self, into: &mut InvokeArguments) -> Result<(), DecodeError> {
         self.fields(|reader, number, value_type| {
             match (number, value_type) {
-                (argument::FIELDS, field_type::MAP) => map = Some(reader.string_map()?),
-                (argument::BODY, field_type::STRING) => body = reader.binary()?,
+                (argument::FIELDS, field_type::MAP) => into.fields = Some(reader.string_map()?),
+                (argument::BODY, field_type::STRING) => into.body = reader.binary()?,
                 _ => return Ok(FieldUse::Unknown),
             }
             Ok(FieldUse::Read)
-        })?;
-        Ok(Method::Invoke { fields: map.ok_or(DecodeError::MissingFields)?, body })
+        })
     }
 
     fn abort_arguments(&mut self) -> Result<Method, DecodeError> {
--- a/src/front/thrift/frames.rs
+++ b/src/front/thrift/frames.rs
@@ -12,16 +12,25 @@
 ///
 /// The length is negative, or above [`MAX_FRAME_BYTES`].
 pub(super) fn next_frame(input: &mut BytesMut) -> Result<Option<Bytes>, Reason> {
+    let Some(length) = message_length(input)?.filter(|length| LENGTH_BYTES + length <= input.len()) else {
+        return Ok(None);
+    };
+    input.advance(LENGTH_BYTES);
+    Ok(Some(input.split_to(length).freeze()))
+}
+
+/// Returns the length of the first frame's message; `None` if the length itself is not complete.
+///
+/// # Errors
+///
+/// The length is negative, or above [`MAX_FRAME_BYTES`].
+pub(super) fn message_length(input: &[u8]) -> Result<Option<usize>, Reason> {
     let Some(prefix) = input.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
     let length = usize::try_from(i32::from_be_bytes(*prefix)).map_err(|_| Reason::BadMessage)?;
     if length > MAX_FRAME_BYTES {
         return Err(Reason::Oversize);
     }
-    if input.len() < LENGTH_BYTES + length {
-        return Ok(None);
-    }
-    input.advance(LENGTH_BYTES);
-    Ok(Some(input.split_to(length).freeze()))
+    Ok(Some(length))
 }
 
 /// Returns the sequence numbers that complete messages of the input cancel. The search starts after the first
--- a/src/front/thrift/handover.rs
+++ b/src/front/thrift/handover.rs
@@ -60,7 +60,9 @@
                 }
                 _ => {}
             }
-            if session.open_requests.is_empty() && net.unwritten_bytes(conn) == 0 {
+            // Another process could not find the end of a message that is being skipped.
+            let is_at_message = session.skipped_message.is_none();
+            if session.open_requests.is_empty() && is_at_message && net.unwritten_bytes(conn) == 0 {
                 ready.push(conn);
             }
         }
--- a/src/front/thrift/limits.rs
+++ b/src/front/thrift/limits.rs
@@ -25,8 +25,11 @@
 /// clients must see their connection end within 3 s.
 pub(super) const MESSAGE_TIMEOUT: Span = Span::from_secs(2);
 /// The same while other connections wait for memory, for a connection that holds more than
-/// [`MIN_INPUT_BYTES`](crate::net::MIN_INPUT_BYTES).
+/// [`MIN_INPUT_BYTES`](crate::net::MIN_INPUT_BYTES). If its client is still owed answers, or there is no memory for the
+/// rest, the message is skipped instead.
 pub(super) const MESSAGE_TIMEOUT_WITHOUT_MEMORY: Span = Span::from_millis(250);
+/// A message for which there is no memory is skipped after this time, and its request is rejected.
+pub(super) const MEMORY_TIMEOUT: Span = Span::from_millis(500);
 /// A connection without open requests is closed after this time. Clients close idle connections after 4 s.
 pub(super) const IDLE_TIMEOUT: Span = Span::from_secs(6);
 /// A lingering connection is closed after this time, even if the client has not closed it.
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -4,8 +4,9 @@
 //! - `session`: state of one connection; `arrivals`: when its unconsumed input arrived.
 //! - `reading`: reads messages, a limited number per connection at a time, and cancellations; `frames` splits
 //!   the input into frames; `codec` decodes calls and encodes replies.
+//! - `skipping`: messages that are dropped because there is no memory for them.
 //! - `answering`: writes answers.
-//! - `closing`: timeouts, graceful and immediate closing.
+//! - `timeouts`: checks of a connection's timeouts; `closing`: graceful and immediate closing.
 //! - `handover`: hands connections over to a newer process, or closes them once they are idle.
 //! - `limits`: sizes, counts and timeouts; `sequence_id`: the type of sequence numbers.
 
@@ -19,6 +20,8 @@
 mod reading;
 mod sequence_id;
 mod session;
+mod skipping;
+mod timeouts;
 
 pub use limits::{HANDOVER_PAUSE, MAX_BODY_BYTES, MAX_OPEN_REQUESTS};
 pub use sequence_id::SequenceId;
@@ -54,13 +57,13 @@
         /// When the first byte arrived. The request may have waited unread since then.
         arrived: Instant,
     },
-    /// A request beyond [`MAX_OPEN_REQUESTS`]. It is not open; [`ThriftFront::answer_untracked`] answers it.
+    /// A request beyond [`MAX_OPEN_REQUESTS`], or one for which there was no memory. It is not open; [`ThriftFront::answer_untracked`] answers it.
     RequestOverLimit {
         /// The client's connection.
         conn: ConnectionKey,
         /// The sequence number, which the reply repeats.
         seqid: SequenceId,
-        /// The request's fields by name.
+        /// The request's fields by name; empty if they were not read.
         fields: BTreeMap<String, String>,
     },
     /// A `ping`, which asks whether the edge proxy is ready.
@@ -139,6 +142,11 @@
         self.unread.resume(net.free_input_bytes(Role::Thrift), MAX_FRAME_BYTES);
     }
 
+    /// Whether connections wait for memory, so that messages which clients have sent may be unread.
+    pub fn needs_memory(&self) -> bool {
+        self.unread.needs_memory()
+    }
+
     /// Returns the number of connections that wait to be read again.
     pub fn connections_with_more_to_read(&self) -> usize {
         self.unread.len()
--- a/src/front/thrift/reading.rs
+++ b/src/front/thrift/reading.rs
@@ -11,7 +11,7 @@
 use crate::deadlines::Schedule;
 use crate::front::lingering;
 use crate::interface::Instant;
-use crate::net::{ConnectionKey, Net, Reason, Role};
+use crate::net::{ConnectionKey, Net, ReadProgress, Reason, Role, MIN_INPUT_BYTES};
 use bytes::Bytes;
 use tracing::warn;
 
@@ -75,7 +75,7 @@
 
     /// Closes a connection whose input cannot be read any further: at once, or after its open requests are
     /// answered.
-    fn stop_reading(
+    pub(super) fn stop_reading(
         &mut self,
         now: Instant,
         conn: ConnectionKey,
@@ -102,6 +102,9 @@
     ) -> Result<(), Reason> {
         let mut taken = 0;
         loop {
+            if self.read_skipped_message(now, conn, net, events)? {
+                return Ok(());
+            }
             let Some(session) = self.sessions.get_mut(conn) else { return Ok(()) };
             // If too much is unwritten, the write event that follows once the client takes bytes triggers the
             // next read.
@@ -111,7 +114,8 @@
                 return self.read_cancellations(now, conn, net, events);
             }
             session.scanned_bytes = 0;
-            let progress = net.read(conn, MAX_FRAME_BYTES + LENGTH_BYTES)?;
+            let progress = self.read_in_turn(conn, net)?;
+            let Some(session) = self.sessions.get_mut(conn) else { return Ok(()) };
             session.add_arrival(now, progress.bytes);
             let turn_end = self.take_frames(now, conn, &mut taken, net, events)?;
             let Some(session) = self.sessions.get_mut(conn) else { return Ok(()) };
@@ -131,7 +135,10 @@
             }
             if progress.is_memory_short {
                 session.waiting_since.get_or_insert(now);
-                self.unread.push_waiting_for_memory(conn);
+                session.short_of_memory_since.get_or_insert(now);
+                self.unread.push_waiting_for_memory(conn, session.has_sent_message);
+            } else {
+                session.short_of_memory_since = None;
             }
             if !progress.is_buffer_full {
                 return Ok(());
@@ -139,6 +146,21 @@
         }
     }
 
+    /// Reads from a connection. While others wait for memory, the input of a connection that has not waited for its turn
+    /// does not grow beyond [`MIN_INPUT_BYTES`].
+    fn read_in_turn(&mut self, conn: ConnectionKey, net: &mut Net) -> Result<ReadProgress, Reason> {
+        let has_waited =
+            self.sessions.get(conn).is_some_and(|session| session.short_of_memory_since.is_some());
+        let is_its_turn = has_waited && !self.unread.is_waiting_for_memory(conn);
+        let has_begun = net.unprocessed_bytes(conn) > MIN_INPUT_BYTES;
+        let limit = MAX_FRAME_BYTES + LENGTH_BYTES;
+        if is_its_turn || has_begun || !self.unread.needs_memory() {
+            net.read(conn, limit)
+        } else {
+            net.read_without_sharing(conn, limit)
+        }
+    }
+
     /// Takes the complete frames of the input, up to [`MESSAGES_PER_TURN`].
     fn take_frames(
         &mut self,
--- a/src/front/thrift/session.rs
+++ b/src/front/thrift/session.rs
@@ -2,6 +2,7 @@
 
 use super::arrivals::Arrivals;
 use super::limits::{CHECK_INTERVAL, FIRST_REQUEST_GRACE};
+use super::skipping::SkippedMessage;
 use super::{SequenceId, SessionDeadline, ThriftEvent};
 use crate::deadlines::{DeadlineHandle, Schedule};
 use crate::front::unread::UnreadConnections;
@@ -44,6 +45,10 @@
     pub arrivals: Arrivals,
     /// Since when the bytes of the next read may have waited; `None` if they have just arrived.
     pub waiting_since: Option<Instant>,
+    /// Since when there is no memory for the rest of an incomplete message; `None` if there is.
+    pub short_of_memory_since: Option<Instant>,
+    /// The message whose rest is dropped as it arrives, since there was no memory for it.
+    pub skipped_message: Option<SkippedMessage>,
 }
 
 impl sessions::Session for Session {
@@ -91,6 +96,8 @@
             scanned_bytes: 0,
             arrivals: Arrivals::default(),
             waiting_since: None,
+            short_of_memory_since: None,
+            skipped_message: None,
         }
     }
 
@@ -104,6 +111,7 @@
     pub(super) fn note_message(&mut self, now: Instant, bytes: usize) -> Instant {
         self.last_active = now;
         self.awaiting_message_since = None;
+        self.short_of_memory_since = None;
         self.has_sent_message = true;
         self.arrivals.take(bytes).unwrap_or(now)
     }
@@ -122,6 +130,7 @@
         is_past_first_request
             && self.lingering_since.is_none()
             && self.open_requests.is_empty()
+            && self.skipped_message.is_none()
             && net.unwritten_bytes(conn) == 0
             && !has_unused_input(net)
     }
--- a/src/front/thrift/tests.rs
+++ b/src/front/thrift/tests.rs
@@ -94,14 +94,21 @@
         }
     }
 
-    /// Runs the timeout checks up to an instant. Returns whether the connection is still open and does not
-    /// linger.
-    fn pass_time(&mut self, until: Instant) -> bool {
+    /// Runs the timeout checks up to an instant. Returns their events.
+    fn pass_time_with_events(&mut self, until: Instant) -> Vec<ThriftEvent> {
+        let mut events = Vec::new();
         while let Some(at) = self.deadlines.next().filter(|at| *at <= until) {
             while let Some(what) = self.deadlines.pop(at) {
-                self.front.deadline_passed(at, what, &mut self.net, &mut self.deadlines);
+                events.extend(self.front.deadline_passed(at, what, &mut self.net, &mut self.deadlines));
             }
         }
+        events
+    }
+
+    /// Runs the timeout checks up to an instant. Returns whether the connection is still open and does not
+    /// linger.
+    fn pass_time(&mut self, until: Instant) -> bool {
+        self.pass_time_with_events(until);
         self.front.sessions.get(self.conn).is_some_and(|session| session.lingering_since.is_none())
     }
 }
@@ -429,3 +436,97 @@
         assert!(fixture.front.owns(other), "the connection that waits has the full timeout");
     }
 }
+
+/// Returns the frame of an `invoke` call with this sequence number and a body of this many bytes.
+fn invoke_with_body(seqid: u8, body_bytes: usize) -> Vec<u8> {
+    let start =
+        [b"\x80\x01\0\x01\0\0\0\x06invoke\0\0\0", &[seqid][..], b"\x0d\0\x01\x0b\x0b\0\0\0\0"].concat();
+    let body = [b"\x0b\0\x02", &(body_bytes as u32).to_be_bytes()[..], &vec![7; body_bytes], b"\0"].concat();
+    [&((start.len() + body.len()) as u32).to_be_bytes()[..], &start, &body].concat()
+}
+
+/// Guards against the loss of a request that its client has sent in full: without memory, its rest stayed unread until
+/// the timeout of a message that the client has not finished.
+#[test]
+fn complete_request_without_memory_is_rejected() {
+    let mut fixture = Fixture::new();
+    let limits = BufferLimits { thrift_input_bytes: MIN_INPUT_BYTES, ..BufferLimits::default() };
+    fixture.net.set_limits(limits);
+    let message = invoke_with_body(1, 40_000);
+    fixture.client.write_all(&[&message[..], PING].concat()).expect("written");
+    let conn = fixture.conn;
+    assert_eq!(fixture.read_until(Instant::ZERO, conn, MIN_INPUT_BYTES), []);
+    let now = at(MESSAGE_TIMEOUT + CHECK_INTERVAL);
+    let mut events = fixture.pass_time_with_events(now);
+    while fixture.front.owns(conn) && !events.iter().any(|event| matches!(event, ThriftEvent::Ping { .. })) {
+        events.extend(fixture.front.on_ready(now, conn, false, &mut fixture.net, &mut fixture.deadlines));
+    }
+    assert!(
+        matches!(
+            events[..],
+            [
+                ThriftEvent::RequestOverLimit { seqid: SequenceId(1), .. },
+                ThriftEvent::Ping { seqid: SequenceId(9), .. }
+            ]
+        ),
+        "{events:?}"
+    );
+    assert!(fixture.pass_time(now + MESSAGE_TIMEOUT), "the connection stays open");
+}
+
+/// Guards against memory that an unfinished message keeps from others for as long as a request is open beside it.
+#[test]
+fn unfinished_message_beside_open_request_gives_its_memory_back() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.send(Instant::ZERO, &invoke(1)).len(), 1);
+    let message = invoke_with_body(2, 40_000);
+    let (sent, rest) = message.split_at(2 * MIN_INPUT_BYTES);
+    let limits = BufferLimits { thrift_input_bytes: sent.len(), ..BufferLimits::default() };
+    fixture.net.set_limits(limits);
+    fixture.client.write_all(sent).expect("written");
+    let conn = fixture.conn;
+    fixture.read_until(Instant::ZERO, conn, sent.len());
+    let (mut client, other) = fixture.open_another(Instant::ZERO);
+    client.write_all(&message).expect("written");
+    fixture.read_until(Instant::ZERO, other, MIN_INPUT_BYTES);
+    let now = at(MESSAGE_TIMEOUT_WITHOUT_MEMORY + CHECK_INTERVAL);
+    assert!(fixture.pass_time(now));
+    assert_eq!(fixture.net.unprocessed_bytes(conn), 0, "the memory is free");
+    assert!(fixture.front.is_open(conn, SequenceId(1)), "the open request is not affected");
+    fixture.client.write_all(rest).expect("written");
+    let mut events = Vec::new();
+    while events.is_empty() {
+        events = fixture.front.on_ready(now, conn, false, &mut fixture.net, &mut fixture.deadlines);
+    }
+    assert!(matches!(events[..], [ThriftEvent::RequestOverLimit { seqid: SequenceId(2), .. }]), "{events:?}");
+}
+
+/// Guards against new connections with unfinished messages that keep the memory from clients which have been answered
+/// before: these get it first, and a new connection does not overtake those that wait.
+#[test]
+fn established_clients_get_memory_first() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.send(Instant::ZERO, PING).len(), 1);
+    fixture.net.set_limits(BufferLimits { thrift_input_bytes: 0, ..BufferLimits::default() });
+    let message = invoke_with_body(1, 40_000);
+    let (mut client, new) = fixture.open_another(Instant::ZERO);
+    client.write_all(&message).expect("written");
+    fixture.read_until(Instant::ZERO, new, MIN_INPUT_BYTES);
+    fixture.client.write_all(&message).expect("written");
+    let conn = fixture.conn;
+    fixture.read_until(Instant::ZERO, conn, MIN_INPUT_BYTES);
+    let limits = BufferLimits { thrift_input_bytes: 2 * MAX_FRAME_BYTES, ..BufferLimits::default() };
+    fixture.net.set_limits(limits);
+    let (mut client, newest) = fixture.open_another(Instant::ZERO);
+    client.write_all(&message).expect("written");
+    while fixture.net.unprocessed_bytes(newest) < MIN_INPUT_BYTES {
+        let events =
+            fixture.front.on_ready(Instant::ZERO, newest, false, &mut fixture.net, &mut fixture.deadlines);
+        assert_eq!(events, [], "others wait for the memory");
+    }
+    assert_eq!(fixture.net.unprocessed_bytes(newest), MIN_INPUT_BYTES);
+    fixture.front.resume_waiting_for_memory(&fixture.net);
+    assert_eq!(fixture.front.next_readable_connection(), Some(conn));
+    let events = fixture.front.on_ready(Instant::ZERO, conn, false, &mut fixture.net, &mut fixture.deadlines);
+    assert!(matches!(events[..], [ThriftEvent::Request { .. }]), "{events:?}");
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -37,7 +37,7 @@
 pub use reason::Reason;
 pub use role::Role;
 pub use stream::{Listener, Stream};
-pub use transfer::ReadProgress;
+pub use transfer::{DiscardProgress, ReadProgress};
 
 use crate::interface::UnixTime;
 use crate::slots::Slots;
--- a/src/net/transfer.rs
+++ b/src/net/transfer.rs
@@ -22,6 +22,15 @@
     pub bytes: usize,
 }
 
+/// The result of one call of [`Net::discard`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DiscardProgress {
+    /// Number of bytes that were dropped.
+    pub bytes: usize,
+    /// Whether the peer has stopped writing and all its bytes were read.
+    pub has_peer_ended: bool,
+}
+
 /// Why a call of [`Net::read`] stopped.
 enum ReadStop {
     BufferFull,
@@ -37,9 +46,29 @@
     ///
     /// The connection is broken or closed.
     pub fn read(&mut self, key: ConnectionKey, limit: usize) -> Result<ReadProgress, Reason> {
+        self.read_within(key, limit, usize::MAX)
+    }
+
+    /// Reads like [`Net::read`], but only into the memory that each connection has for itself, as if the inputs of all
+    /// clients together were at their limit.
+    ///
+    /// # Errors
+    ///
+    /// The connection is broken or closed.
+    pub fn read_without_sharing(&mut self, key: ConnectionKey, limit: usize) -> Result<ReadProgress, Reason> {
+        self.read_within(key, limit, 0)
+    }
+
+    /// Reads like [`Net::read`], with at most `max_shared` bytes of the memory that clients share.
+    fn read_within(
+        &mut self,
+        key: ConnectionKey,
+        limit: usize,
+        max_shared: usize,
+    ) -> Result<ReadProgress, Reason> {
         let Some(connection) = self.connections.get_mut(key.0) else { return Err(Reason::PeerReset) };
         let (role, before) = (connection.role, connection.input.len());
-        let free = self.limits.free_input(role, self.input_bytes.of(role));
+        let free = self.limits.free_input(role, self.input_bytes.of(role)).min(max_shared);
         let allowed = limit.min(before.saturating_add(free).max(MIN_INPUT_BYTES));
         let stop = connection.fill_input(allowed, &mut self.scratch);
         let after = connection.input.len();
@@ -52,6 +81,31 @@
         })
     }
 
+    /// Reads and drops bytes until no more are available or `limit` of them were dropped. The input buffer is left as
+    /// it is.
+    ///
+    /// # Errors
+    ///
+    /// The connection is broken or closed.
+    pub fn discard(&mut self, key: ConnectionKey, limit: usize) -> Result<DiscardProgress, Reason> {
+        let Some(connection) = self.connections.get_mut(key.0) else { return Err(Reason::PeerReset) };
+        let mut progress = DiscardProgress { bytes: 0, has_peer_ended: false };
+        while progress.bytes < limit && !progress.has_peer_ended {
+            let capacity = (limit - progress.bytes).min(READ_CHUNK_BYTES);
+            match connection.stream.read(&mut self.scratch[..capacity]) {
+                Ok(0) => progress.has_peer_ended = true,
+                Ok(count) => {
+                    progress.bytes += count;
+                    connection.read_bytes += count as u64;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Err(Reason::PeerReset),
+            }
+        }
+        Ok(progress)
+    }
+
     /// Whether the peer has stopped writing. Each call makes one successful read at most and discards its
     /// bytes.
     ///
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -128,6 +128,8 @@
         if self.handover.has_newer() {
             return self.core.time_out_all(self.now, &mut self.deadlines);
         }
+        let events = self.thrift.skip_waiting_messages(self.now, &mut self.net, &mut self.deadlines);
+        self.on_thrift_events(events);
         for conn in self.thrift.connections() {
             self.on_ready(Ready::readable(conn));
         }
@@ -152,6 +154,7 @@
         let signed = self.signed.as_ref().map(|signed| &signed.front);
         self.core.unanswered() == 0
             && self.connections_with_unread_requests() == 0
+            && !self.thrift.needs_memory()
             && self.thrift.is_flushed(&self.net)
             && signed.is_none_or(|signed| signed.is_flushed(&self.net))
     }
--- a/tests/sockets/thrift_front.rs
+++ b/tests/sockets/thrift_front.rs
@@ -1,9 +1,12 @@
 //! The Thrift front, through which the platform's clients send requests.
 
 use crate::stand_ins::*;
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::io::{Error, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
 
 /// A client of the Thrift front.
 pub struct Client(pub TcpStream);
@@ -667,3 +670,56 @@
     assert!(memory_kib() <= MEMORY_MB * 1024, "{} KiB", memory_kib());
     assert!(usual.ping(1000));
 }
+
+/// Sends messages that are shorter than their length says, on a new connection each time the last one was closed.
+fn send_unfinished_messages(addr: SocketAddr, is_over: &AtomicBool) {
+    let mut message = invoke(2, &[("route", "result")], &[1; 64_000]);
+    message[..4].copy_from_slice(&65_500_i32.to_be_bytes());
+    while !is_over.load(Ordering::Relaxed) {
+        let Ok(mut stream) = TcpStream::connect(addr) else { continue };
+        stream.set_read_timeout(Some(Duration::from_millis(100))).expect("set the read timeout");
+        let mut is_open = stream.write_all(&message).is_ok();
+        while is_open && !is_over.load(Ordering::Relaxed) {
+            let is_waiting =
+                |error: &Error| matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+            is_open = stream.read(&mut [0; 64]).map_or_else(|error| is_waiting(&error), |count| count > 0);
+        }
+    }
+}
+
+/// Guards against writes that are sent in full and closed without an answer, since unfinished messages of other clients
+/// hold the memory for input.
+#[test]
+fn complete_writes_are_answered_while_input_memory_is_short() {
+    const BAD_CLIENTS: usize = 150;
+    let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+    let small = |config: &str| config.replace("\"memory_mb\":192", "\"memory_mb\":8");
+    let proxy = Proxy::start("short-of-memory", &[&cache, &parent], small, &[]);
+    thread::spawn(move || cache.lines.iter().for_each(|mut line| line.answer("200", "ver=a", b"ran")));
+    let mut usual = Client::new(&proxy);
+    assert!(usual.ping(1));
+    let (is_over, addr) = (AtomicBool::new(false), proxy.addr);
+    thread::scope(|scope| {
+        for _ in 0..BAD_CLIENTS {
+            scope.spawn(|| send_unfinished_messages(addr, &is_over));
+        }
+        let replies = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            proxy.wait_for_log("head-timeout");
+            for seqid in 2..12 {
+                let trace = trace(seqid);
+                let fields = [
+                    ("route", "result"),
+                    ("trace", &trace[..]),
+                    ("patience", "3000"),
+                    ("entity", "7f3a9c21e0b4d655"),
+                ];
+                usual.send(&invoke(seqid, &fields, &[1; 40_000]));
+                let (answered, reply) = usual.reply();
+                assert_eq!(answered, seqid);
+                assert!(matches!(reply, Reply::Served { .. } | Reply::Refused { .. }), "{reply:?}");
+            }
+        }));
+        is_over.store(true, Ordering::Relaxed);
+        replies.expect("every write is answered");
+    });
+}
