Keep connections open while their clients still read answers

Cause: a connection counted as unused once the program's own buffer was empty. The system had taken all answers at once and held them for seconds. Evidence: the log has `end=idle` at an age of 6.4 s with wrote=1410282, all of the answers, while the client's record shows bytes of the sixth answer still coming.

Change: a connection is not unused while the system holds bytes that it has not sent. Related paths with the same cause: eviction, lingering on both fronts (the write side is shut down once the answers are sent), the signed front's idle close (which also closed in the middle of writing an answer), connections taken over in an upgrade, and the end of a shutdown, which waits for unsent answers while there is time.

Ruled out on the way: keeping such connections out of the idle close of a shutdown.

--- a/src/front/admin/mod.rs
+++ b/src/front/admin/mod.rs
@@ -12,6 +12,7 @@
 use super::lingering;
 use super::sessions::{self, Sessions};
 use crate::deadlines::{DeadlineHandle, Schedule};
+use crate::front::delivery::Delivery;
 use crate::interface::{Instant, Span};
 use crate::net::{ConnectionKey, Net, Reason};
 use bytes::{Bytes, BytesMut};
@@ -72,6 +73,10 @@
 }
 
 impl sessions::Session for Caller {
+    fn delivery_mut(&mut self) -> Option<&mut Delivery> {
+        None
+    }
+
     fn deadlines(&self) -> impl Iterator<Item = DeadlineHandle> {
         std::iter::once(self.timeout)
     }
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -1,5 +1,6 @@
 //! The connections of one front, with the eviction and closing that all fronts share.
 
+use super::delivery::Delivery;
 use crate::deadlines::{DeadlineHandle, Schedule};
 use crate::interface::Instant;
 use crate::net::{ConnectionKey, Net, Reason};
@@ -17,6 +18,8 @@
     fn has_sent_message(&self) -> bool;
     /// Returns when the connection was last used.
     fn last_active(&self) -> Instant;
+    /// Returns the delivery of answers; `None` if it does not keep the connection from being closed.
+    fn delivery_mut(&mut self) -> Option<&mut Delivery>;
 }
 
 /// The connections of one front.
@@ -63,13 +66,18 @@
         self.by_connection.iter_mut().map(|(conn, session)| (*conn, session))
     }
 
-    /// Returns the connection to evict first among those that are idle: no request is open and all bytes are
-    /// written.
-    pub fn eviction_candidate(&self, net: &Net) -> Option<ConnectionKey> {
-        let is_idle = |(conn, session): &(ConnectionKey, &S)| {
-            !session.has_open_requests() && net.unwritten_bytes(*conn) == 0
+    /// Returns the connection to evict first among those that are idle: no request is open, all bytes are written, and
+    /// its client is not still reading answers, unless it lingers.
+    pub fn eviction_candidate(&mut self, now: Instant, net: &Net) -> Option<ConnectionKey> {
+        let is_idle = |(conn, session): &mut (ConnectionKey, &mut S)| {
+            let (conn, is_lingering) = (*conn, session.is_lingering());
+            let delivery = session.delivery_mut().filter(|_| !is_lingering);
+            let is_reading = delivery.is_some_and(|delivery| delivery.is_pending(now, conn, net));
+            !session.has_open_requests() && net.unwritten_bytes(conn) == 0 && !is_reading
         };
-        first_to_evict(self.iter().filter(is_idle))
+        first_to_evict(
+            self.iter_mut().filter_map(|mut entry| is_idle(&mut entry).then_some((entry.0, &*entry.1))),
+        )
     }
 
     /// Returns the connection to evict first, whether idle or not.
--- a/src/front/signed/closing.rs
+++ b/src/front/signed/closing.rs
@@ -2,7 +2,7 @@
 
 use super::http::HttpAnswer;
 use super::session::{PipelinedRequest, RequestState};
-use super::{SessionDeadline, SignedFront, LINGER_TIMEOUT};
+use super::{SessionDeadline, SignedFront, DELIVERY_CHECK_INTERVAL, LINGER_TIMEOUT};
 use crate::deadlines::Schedule;
 use crate::front::lingering;
 use crate::interface::Instant;
@@ -44,6 +44,9 @@
         if session.is_lingering {
             return self.close(now, conn, Reason::Done, net, deadlines);
         }
+        if session.ends_after_answers && session.requests.is_empty() {
+            return session.delivery.update(now, conn, net);
+        }
         if session.received_requests == 0 && net.input(conn, |input| input.is_empty()).unwrap_or(true) {
             return self.close(now, conn, Reason::HeadTimeout, net, deadlines);
         }
@@ -63,7 +66,12 @@
         let next_check = now + self.check_interval();
         let Some(session) = self.sessions.get_mut(conn) else { return };
         let written_bytes = net.written_bytes(conn);
-        let is_stalled = net.unwritten_bytes(conn) > 0 && written_bytes == session.written_bytes;
+        let has_unwritten = net.unwritten_bytes(conn) > 0;
+        let is_stalled = has_unwritten && written_bytes == session.written_bytes;
+        session.delivery.update(now, conn, net);
+        if has_unwritten || session.delivery.is_pending(now, conn, net) {
+            session.last_active = now;
+        }
         let is_idle = session.requests.is_empty() && session.last_active + self.config.idle_timeout <= now;
         session.written_bytes = written_bytes;
         session.check_deadline = deadlines.add(next_check, SessionDeadline::Check(conn));
@@ -74,8 +82,7 @@
         }
     }
 
-    /// Shuts down the write side of a connection that is to close, if its last answer is written. The
-    /// connection then waits for the client to close it, for at most `LINGER_TIMEOUT`.
+    /// Shuts down the write side of a connection that is to close, if its last answer is sent. The connection then waits for the client to close it, for at most `LINGER_TIMEOUT`.
     pub fn linger_if_answered(
         &mut self,
         now: Instant,
@@ -85,7 +92,14 @@
     ) {
         let Some(session) = self.sessions.get_mut(conn) else { return };
         let is_answered = session.ends_after_answers && session.requests.is_empty();
-        if is_answered && !session.is_lingering && lingering::shut_down_if_flushed(conn, net) {
+        if !is_answered || session.is_lingering {
+            return;
+        }
+        if session.delivery.is_pending(now, conn, net) {
+            let at = now + DELIVERY_CHECK_INTERVAL;
+            let check = || deadlines.add(at, SessionDeadline::ClientTimeout(conn));
+            session.client_timeout.get_or_insert_with(check);
+        } else if lingering::shut_down_if_flushed(conn, net) {
             session.is_lingering = true;
             session.clear_client_timeout(deadlines);
             let at = now + LINGER_TIMEOUT;
@@ -107,8 +121,8 @@
     }
 
     /// Returns the idle connection to evict first for a new one; `None` if no connection is idle.
-    pub fn eviction_candidate(&self, net: &Net) -> Option<ConnectionKey> {
-        self.sessions.eviction_candidate(net)
+    pub fn eviction_candidate(&mut self, now: Instant, net: &Net) -> Option<ConnectionKey> {
+        self.sessions.eviction_candidate(now, net)
     }
 
     /// Closes a connection at once. Its open requests are cancelled; [`SignedFront::take_cancelled`] returns
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -35,6 +35,8 @@
 const MAX_OPEN_REQUESTS: usize = 16;
 /// A connection is closed if its client takes no byte of its answers for this long.
 const WRITE_STALL_TIMEOUT: Span = Span::from_secs(10);
+/// Interval between checks of whether the client of a connection that is to close has been sent its answers.
+const DELIVERY_CHECK_INTERVAL: Span = Span::from_secs(1);
 /// A connection is closed this long after its write side was shut down, even if the client has not closed it.
 const LINGER_TIMEOUT: Span = Span::from_secs(2);
 
@@ -44,7 +46,7 @@
     /// The next check of whether the connection is stalled or idle.
     Check(ConnectionKey),
     /// The time by which the client must have completed a head, or, while the connection lingers, must have
-    /// closed.
+    /// closed. Before it lingers, the next check of whether its answers are sent.
     ClientTimeout(ConnectionKey),
 }
 
@@ -120,11 +122,13 @@
         self.sessions.contains(conn)
     }
 
-    /// Whether all requests are answered and all answers written.
-    pub fn is_flushed(&self, net: &Net) -> bool {
-        self.sessions
-            .iter()
-            .all(|(conn, session)| session.requests.is_empty() && net.unwritten_bytes(conn) == 0)
+    /// Whether all requests are answered, and all answers written and sent.
+    pub fn is_flushed(&mut self, now: Instant, net: &Net) -> bool {
+        self.sessions.iter_mut().all(|(conn, session)| {
+            session.requests.is_empty()
+                && net.unwritten_bytes(conn) == 0
+                && !session.delivery.is_pending(now, conn, net)
+        })
     }
 
     /// Whether a request is still open. Its client may have closed the connection right after the request, in
--- a/src/front/signed/session.rs
+++ b/src/front/signed/session.rs
@@ -2,6 +2,7 @@
 
 use super::http::HttpAnswer;
 use crate::deadlines::{DeadlineHandle, Schedule};
+use crate::front::delivery::Delivery;
 use crate::front::{sessions, RequestHandle};
 use crate::interface::Instant;
 use std::collections::VecDeque;
@@ -39,7 +40,9 @@
     pub check_deadline: DeadlineHandle,
     /// Number of bytes written up to the last check.
     pub written_bytes: u64,
-    /// When bytes last arrived or a request was last answered.
+    /// The delivery of the answers.
+    pub delivery: Delivery,
+    /// When bytes last arrived, a request was last answered, or the client was last seen reading its answers.
     pub last_active: Instant,
     /// Whether no more requests are read and the connection closes once all requests are answered.
     pub ends_after_answers: bool,
@@ -50,6 +53,10 @@
 }
 
 impl sessions::Session for Session {
+    fn delivery_mut(&mut self) -> Option<&mut Delivery> {
+        Some(&mut self.delivery)
+    }
+
     fn deadlines(&self) -> impl Iterator<Item = DeadlineHandle> {
         std::iter::once(self.check_deadline).chain(self.client_timeout)
     }
@@ -80,6 +87,7 @@
             client_timeout: Some(client_timeout),
             check_deadline,
             written_bytes: 0,
+            delivery: Delivery::new(now),
             last_active: now,
             ends_after_answers: false,
             is_lingering: false,
--- a/src/front/thrift/closing.rs
+++ b/src/front/thrift/closing.rs
@@ -45,7 +45,7 @@
     }
 
     /// Continues with a lingering connection: discards its input, shuts down the write side once all answers
-    /// are written, and closes the connection once the client has closed.
+    /// are sent, and closes the connection once the client has closed.
     pub(super) fn continue_lingering(
         &mut self,
         now: Instant,
@@ -55,7 +55,8 @@
     ) -> Vec<ThriftEvent> {
         let has_ended = lingering::flush_and_drop_input(conn, net);
         let Some(session) = self.sessions.get_mut(conn) else { return Vec::new() };
-        if !session.is_shut_down {
+        // Once the write side is shut down, the system does not tell any more whether all answers are sent.
+        if !session.is_shut_down && !session.delivery.is_pending(now, conn, net) {
             session.is_shut_down = lingering::shut_down_if_flushed(conn, net);
         }
         match has_ended {
@@ -65,8 +66,8 @@
     }
 
     /// Returns the idle connection to evict first for a new one; `None` if no connection is idle.
-    pub fn eviction_candidate(&self, net: &Net) -> Option<ConnectionKey> {
-        self.sessions.eviction_candidate(net)
+    pub fn eviction_candidate(&mut self, now: Instant, net: &Net) -> Option<ConnectionKey> {
+        self.sessions.eviction_candidate(now, net)
     }
 
     /// Closes a connection at once and returns the cancellations of its open requests.
--- a/src/front/thrift/handover.rs
+++ b/src/front/thrift/handover.rs
@@ -4,6 +4,7 @@
 use super::session::Session;
 use super::{SessionDeadline, ThriftFront};
 use crate::deadlines::Schedule;
+use crate::front::delivery::Delivery;
 use crate::interface::Instant;
 use crate::net::{ConnectionKey, Net, Reason};
 
@@ -25,6 +26,7 @@
         self.open(now, conn, deadlines);
         if let Some(session) = self.sessions.get_mut(conn) {
             session.has_sent_message = true;
+            session.delivery = Delivery::adopted(now);
             session.awaiting_message_since = None;
             // Input that the other process read may have waited for the whole pause before the handover.
             let unused = net.input(conn, |input| input.len()).unwrap_or(0);
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -152,9 +152,11 @@
         self.unread.len()
     }
 
-    /// Whether all answers are written on all connections.
-    pub fn is_flushed(&self, net: &Net) -> bool {
-        self.sessions.iter().all(|(conn, _)| net.unwritten_bytes(conn) == 0)
+    /// Whether all answers are written and sent on all connections.
+    pub fn is_flushed(&mut self, now: Instant, net: &Net) -> bool {
+        self.sessions.iter_mut().all(|(conn, session)| {
+            net.unwritten_bytes(conn) == 0 && !session.delivery.is_pending(now, conn, net)
+        })
     }
 
     /// Whether a request is still open. Its client may have closed the connection right after the request, in
--- a/src/front/thrift/session.rs
+++ b/src/front/thrift/session.rs
@@ -5,6 +5,7 @@
 use super::skipping::SkippedMessage;
 use super::{SequenceId, SessionDeadline, ThriftEvent};
 use crate::deadlines::{DeadlineHandle, Schedule};
+use crate::front::delivery::Delivery;
 use crate::front::unread::UnreadConnections;
 use crate::front::{sessions, RequestHandle};
 use crate::interface::Instant;
@@ -19,9 +20,11 @@
     pub check_deadline: DeadlineHandle,
     /// Number of bytes written up to the last timeout check.
     pub written_bytes: u64,
+    /// The delivery of the answers.
+    pub delivery: Delivery,
     /// When a timeout check last found that bytes had been written or that none were waiting.
     pub last_write_progress: Instant,
-    /// When a message last arrived or a request was last answered.
+    /// When a message last arrived, a request was last answered, or the client was last seen reading its answers.
     pub last_active: Instant,
     /// Since when the rest of an incomplete message, or the first message, is awaited.
     pub awaiting_message_since: Option<Instant>,
@@ -52,6 +55,10 @@
 }
 
 impl sessions::Session for Session {
+    fn delivery_mut(&mut self) -> Option<&mut Delivery> {
+        Some(&mut self.delivery)
+    }
+
     fn deadlines(&self) -> impl Iterator<Item = DeadlineHandle> {
         std::iter::once(self.check_deadline)
     }
@@ -84,6 +91,7 @@
             open_requests: BTreeMap::new(),
             check_deadline: deadlines.add(now + CHECK_INTERVAL, SessionDeadline(conn)),
             written_bytes: 0,
+            delivery: Delivery::new(now),
             last_write_progress: now,
             last_active: now,
             awaiting_message_since: Some(now),
--- a/src/front/thrift/tests.rs
+++ b/src/front/thrift/tests.rs
@@ -2,17 +2,20 @@
 
 use super::codec::ThriftReply;
 use super::limits::{
-    CHECK_INTERVAL, IDLE_TIMEOUT, MAX_FRAME_BYTES, MESSAGE_TIMEOUT, MESSAGE_TIMEOUT_WITHOUT_MEMORY,
+    CHECK_INTERVAL, IDLE_TIMEOUT, LINGER_TIMEOUT, MAX_FRAME_BYTES, MESSAGE_TIMEOUT,
+    MESSAGE_TIMEOUT_WITHOUT_MEMORY,
 };
 use super::*;
 use crate::deadlines::Deadlines;
 use crate::interface::Span;
 use crate::net::{BufferLimits, Ready, Reason, Role, MIN_INPUT_BYTES};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 
 const PING: &[u8] = b"\0\0\0\x11\x80\x01\0\x01\0\0\0\x04ping\0\0\0\x09\0";
 const US: Span = Span::from_micros(1);
+/// The length of a body that does not fit into the buffer of a client that does not read.
+const LONG_BODY_BYTES: usize = 235_000;
 const HANDLE: RequestHandle = RequestHandle::from_number(77);
 
 fn at(span: Span) -> Instant {
@@ -530,3 +533,79 @@
     let events = fixture.front.on_ready(Instant::ZERO, conn, false, &mut fixture.net, &mut fixture.deadlines);
     assert!(matches!(events[..], [ThriftEvent::Request { .. }]), "{events:?}");
 }
+
+impl Fixture {
+    /// Answers the open request of a connection with a body that does not fit into the buffer of a client that does not
+    /// read.
+    fn answer_with_long_body(&mut self, now: Instant, conn: ConnectionKey, seqid: u8) {
+        let reply = ThriftReply::Answer { body: vec![7; LONG_BODY_BYTES].into(), fields: Vec::new() };
+        let seqid = SequenceId(i32::from(seqid));
+        self.front.answer(now, conn, seqid, reply, &mut self.net, &mut self.deadlines);
+        assert_eq!(self.net.unwritten_bytes(conn), 0, "the system holds the rest");
+        assert!(self.net.has_unsent_bytes(conn));
+    }
+
+    /// Reads all that was written to the first client.
+    fn read_as_client(&mut self) {
+        let mut left = self.net.written_bytes(self.conn) as usize;
+        let mut buffer = vec![0; 1 << 16];
+        while left > 0 {
+            left -= self.client.read(&mut buffer).expect("the rest arrives");
+        }
+    }
+}
+
+/// Guards against the loss of a request whose client still reads the answers before it: the system held them, so the
+/// connection counted as idle and was closed.
+#[test]
+fn connection_is_not_idle_while_its_client_reads_answers() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.send(Instant::ZERO, &invoke(1)).len(), 1);
+    fixture.answer_with_long_body(Instant::ZERO, fixture.conn, 1);
+    let read_at = at(IDLE_TIMEOUT + CHECK_INTERVAL);
+    assert!(fixture.pass_time(read_at), "the client still reads");
+    fixture.read_as_client();
+    assert!(fixture.pass_time(read_at + IDLE_TIMEOUT - CHECK_INTERVAL));
+    assert!(!fixture.pass_time(read_at + IDLE_TIMEOUT + CHECK_INTERVAL), "it is idle since it has read");
+}
+
+/// A client that never reads must not keep its connection for ever.
+#[test]
+fn connection_of_client_that_never_reads_is_closed() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.send(Instant::ZERO, &invoke(1)).len(), 1);
+    fixture.answer_with_long_body(Instant::ZERO, fixture.conn, 1);
+    assert!(!fixture.pass_time(at(4 * IDLE_TIMEOUT)));
+}
+
+/// Guards against answers that are lost since their connection is evicted while its client reads them.
+#[test]
+fn connection_whose_client_reads_answers_is_not_evicted() {
+    let mut fixture = Fixture::new();
+    let (_client, other) = fixture.open_another(Instant::ZERO);
+    let now = at(CHECK_INTERVAL);
+    assert_eq!(fixture.send(now, &invoke(1)).len(), 1);
+    fixture.answer_with_long_body(now, fixture.conn, 1);
+    assert_eq!(fixture.front.eviction_candidate(now, &fixture.net), Some(other));
+    fixture.front.close(now, other, Reason::Evicted, &mut fixture.net, &mut fixture.deadlines);
+    assert_eq!(fixture.front.eviction_candidate(now, &fixture.net), None);
+    fixture.read_as_client();
+    let now = now + CHECK_INTERVAL;
+    assert!(fixture.pass_time(now));
+    assert_eq!(fixture.front.eviction_candidate(now, &fixture.net), Some(fixture.conn));
+}
+
+/// Guards against answers that are lost since their connection lingers for a shorter time than its client reads them.
+#[test]
+fn connection_lingers_while_its_client_reads_answers() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.send(Instant::ZERO, &invoke(1)).len(), 1);
+    let (conn, now) = (fixture.conn, Instant::ZERO);
+    fixture.answer_with_long_body(now, conn, 1);
+    fixture.front.close_gracefully(now, conn, Reason::Stopping, &mut fixture.net, &mut fixture.deadlines);
+    fixture.pass_time(at(LINGER_TIMEOUT + CHECK_INTERVAL));
+    assert!(fixture.front.owns(conn));
+    fixture.read_as_client();
+    fixture.pass_time(at(2 * LINGER_TIMEOUT + 3 * CHECK_INTERVAL));
+    assert!(!fixture.front.owns(conn));
+}
--- a/src/front/thrift/timeouts.rs
+++ b/src/front/thrift/timeouts.rs
@@ -33,6 +33,9 @@
         deadlines: &mut dyn Schedule<SessionDeadline>,
     ) -> Vec<ThriftEvent> {
         self.begin_check(now, conn, net, deadlines);
+        if self.sessions.get(conn).is_some_and(|session| session.lingering_since.is_some()) {
+            self.continue_lingering(now, conn, net, deadlines);
+        }
         let mut events = Vec::new();
         if let Some(Timeout::Message | Timeout::Idle) = self.passed_timeout(now, conn, net) {
             // What has just arrived is still read, and may keep the connection open.
@@ -65,7 +68,13 @@
             session.written_bytes = written_bytes;
             session.last_write_progress = now;
         }
-        if !is_quiet {
+        session.delivery.update(now, conn, net);
+        let is_reading = session.delivery.is_pending(now, conn, net);
+        if is_reading {
+            session.last_active = now;
+            session.lingering_since = session.lingering_since.map(|_| now);
+        }
+        if !is_quiet || is_reading {
             // A client may read its answers before it sends the rest of a message that it has begun, so the
             // timeout of this message starts after them.
             session.awaiting_message_since = session.awaiting_message_since.map(|_| now);
--- a/src/net/fabric/endpoint.rs
+++ b/src/net/fabric/endpoint.rs
@@ -165,6 +165,11 @@
         Ok(count)
     }
 
+    /// Whether bytes are in flight to the peer.
+    pub fn has_unsent_bytes(&self) -> bool {
+        self.fabric.state().links.get(&self.id).is_some_and(|link| link.in_flight_bytes > 0)
+    }
+
     /// Shuts down the write side.
     pub fn shutdown(&self) {
         let mut state = self.fabric.state();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,7 +7,8 @@
 //!   `reason`;
 //! - `transfer`: reads and writes; `read_queue`: connections that wait to be read again;
 //! - `buffer_limits`: limits of the buffers of all connections together;
-//! - `connection`: the state of one connection; `role`: its purpose; `stream`: its socket;
+//! - `connection`: the state of one connection; `role`: its purpose; `stream`: its socket; `send_queue`: the bytes of a
+//!   socket that the system has not sent;
 //! - `errors`: classifies the errors of system calls;
 //! - `clock`: the monotonic clock and the wall clock;
 //! - `fabric`: the simulated network.
@@ -24,6 +25,7 @@
 mod read_queue;
 mod reason;
 mod role;
+mod send_queue;
 mod stream;
 mod transfer;
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,6 +1,6 @@
 //! Sockets and listeners of the operating system or of the simulated network.
 
-use super::{fabric, Reason};
+use super::{fabric, send_queue, Reason};
 use mio::net::{TcpListener, TcpStream};
 use std::io::{self, IoSlice, Read, Write};
 use std::net::SocketAddr;
@@ -28,6 +28,14 @@
         }
     }
 
+    /// Whether the system holds written bytes that it has not sent. `false` if that is not known.
+    pub(super) fn has_unsent_bytes(&self) -> bool {
+        match self {
+            Stream::Tcp(stream) => send_queue::has_unsent_bytes(stream).unwrap_or(false),
+            Stream::Virtual(stream) => stream.has_unsent_bytes(),
+        }
+    }
+
     pub(super) fn connected(&self) -> Result<bool, Reason> {
         let stream = match self {
             Stream::Tcp(stream) => stream,
--- a/src/net/transfer.rs
+++ b/src/net/transfer.rs
@@ -151,6 +151,12 @@
         self.connection(key).map_or(0, |connection| connection.written_bytes)
     }
 
+    /// Whether the system holds written bytes of a connection that it has not sent, since the peer reads slowly.
+    /// `false` if that is not known.
+    pub fn has_unsent_bytes(&self, key: ConnectionKey) -> bool {
+        self.connection(key).is_some_and(|connection| connection.stream.has_unsent_bytes())
+    }
+
     /// Writes as many bytes as the socket accepts now, and buffers the rest for [`Net::flush`].
     ///
     /// # Errors
--- a/src/server/eviction.rs
+++ b/src/server/eviction.rs
@@ -19,9 +19,9 @@
     /// read first; if they hold a request, the connection stays.
     fn evict_thrift_connection(&mut self) -> bool {
         for _ in 0..MAX_CANDIDATES {
-            let Some(conn) = self.thrift.eviction_candidate(&self.net) else { break };
+            let Some(conn) = self.thrift.eviction_candidate(self.now, &self.net) else { break };
             self.on_ready(Ready::readable(conn));
-            if self.thrift.eviction_candidate(&self.net) == Some(conn) {
+            if self.thrift.eviction_candidate(self.now, &self.net) == Some(conn) {
                 self.thrift.close(self.now, conn, Reason::Evicted, &mut self.net, &mut self.deadlines);
                 return true;
             }
@@ -50,7 +50,7 @@
         false
     }
 
-    fn signed_eviction_candidate(&self) -> Option<ConnectionKey> {
-        self.signed.as_ref()?.front.eviction_candidate(&self.net)
+    fn signed_eviction_candidate(&mut self) -> Option<ConnectionKey> {
+        self.signed.as_mut()?.front.eviction_candidate(self.now, &self.net)
     }
 }
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -94,7 +94,8 @@
         if self.shutdown_schedule().final_answers_at() <= self.now {
             self.answer_all();
         }
-        self.phase.set_answered(self.is_all_answered(), self.now);
+        let is_answered = self.is_all_answered();
+        self.phase.set_answered(is_answered, self.now);
         if self.may_end() {
             self.phase.stop(self.now);
         } else {
@@ -149,14 +150,13 @@
         self.on_thrift_events(events);
     }
 
-    /// Whether every request that was read has been answered and its answer has been written in full.
-    fn is_all_answered(&self) -> bool {
-        let signed = self.signed.as_ref().map(|signed| &signed.front);
+    /// Whether every request that was read has been answered and its answer has been sent in full.
+    fn is_all_answered(&mut self) -> bool {
         self.core.unanswered() == 0
             && self.connections_with_unread_requests() == 0
             && !self.thrift.needs_memory()
-            && self.thrift.is_flushed(&self.net)
-            && signed.is_none_or(|signed| signed.is_flushed(&self.net))
+            && self.thrift.is_flushed(self.now, &self.net)
+            && self.signed.as_mut().is_none_or(|signed| signed.front.is_flushed(self.now, &self.net))
     }
 
     /// Releases the resources of a process whose shutdown is complete, and closes all connections.
--- a/tests/sockets/signed_front.rs
+++ b/tests/sockets/signed_front.rs
@@ -575,3 +575,27 @@
     // 1.5 s, rounded up to whole seconds.
     assert_eq!((header(&answer, "Retry-After"), header(&answer, "Connection")), (Some("2"), Some("close")));
 }
+
+/// Guards against a request that is lost since its client was still reading an earlier answer, which the system held, as
+/// its connection was closed as idle.
+#[test]
+fn request_of_client_that_still_reads_answers_is_answered() {
+    let config = SIGNED_CONFIG.replace("head_timeout_ms = 10000", "idle_timeout_ms = 300");
+    let setup = setup_with_config("signed-reading", &config);
+    let path = setup.signed_replay_path(3, now() + 3600);
+    let body = vec![7; 235_000];
+    let mut slow = setup.client();
+    slow.get(&path);
+    setup.cache.next_line().answer("200", "ver=a", &body);
+    slow.0.peek(&mut [0]).expect("the answer has begun");
+    for _ in 0..2 {
+        let mut idle = setup.client();
+        idle.get("/");
+        assert_eq!(idle.answer().status, 403);
+        assert!(idle.read_until_closed().is_empty(), "it is closed as idle");
+    }
+    slow.get(&path);
+    setup.cache.next_line().answer("200", "ver=a", b"second");
+    assert_eq!(slow.answer().body, body);
+    assert_eq!(slow.answer().body, b"second");
+}
--- a/tests/sockets/thrift_front.rs
+++ b/tests/sockets/thrift_front.rs
@@ -723,3 +723,21 @@
         replies.expect("every write is answered");
     });
 }
+
+/// Guards against a request that is lost since its client was still reading earlier answers, which the system held, as
+/// its connection was closed as idle.
+#[test]
+fn request_of_client_that_still_reads_answers_is_answered() {
+    let (cache, _parent, proxy) = start_with_one_cache("reading");
+    let body = vec![7; 235_000];
+    let (mut slow, mut idle) = (Client::new(&proxy), Client::new(&proxy));
+    slow.send(&request(1, "replay"));
+    cache.next_line().answer("200", "ver=a", &body);
+    slow.0.peek(&mut [0]).expect("the answer has begun");
+    assert!(idle.ping(1));
+    assert!(idle.is_closed(), "it is closed as idle");
+    slow.send(&request(2, "result"));
+    cache.next_line().answer("200", "ver=a", b"ran");
+    assert_eq!(slow.reply(), (1, served(&body)));
+    assert_eq!(slow.reply(), (2, served(b"ran")));
+}
