Leave retired classes out of the schedule of a shutdown

Callers saw: a reload dropped the class with a deadline of 6 s, and 1 s was the longest left.

Cause: `ActiveConfig::max_client_deadline` took the longest deadline of all entries in the table of classes, where a dropped class stays as retired for its open requests. The shutdown was scheduled to answer everything 3.4 s after SIGTERM.

Change: retired classes do not count. Their open requests get their final answer before the kill time. A class whose deadline a reload shortens has a retired entry too, so the same line mends it.

--- a/src/server/active_config.rs
+++ b/src/server/active_config.rs
@@ -46,9 +46,10 @@
         self.settings.policy.limits.retry_after
     }
 
-    /// Returns the longest client deadline of all classes; zero if there are none.
+    /// Returns the longest client deadline of the classes in use; zero if there are none. Those that a reload has retired
+    /// do not count, although requests of theirs may still be open.
     pub fn max_client_deadline(&self) -> Span {
-        let classes = self.settings.program.classes.iter();
+        let classes = self.settings.program.classes.iter().filter(|class| !class.retired);
         classes.map(|class| class.client_deadline).max().unwrap_or(Span::ZERO)
     }
 }
--- a/tests/sockets/shutdown.rs
+++ b/tests/sockets/shutdown.rs
@@ -160,6 +160,34 @@
     }
 }
 
+/// Guards against a shutdown that outlasts its kill time since it counts the deadline of classes that a reload has dropped
+/// or changed: the requests that were open at SIGKILL were lost.
+#[test]
+fn classes_of_earlier_configurations_do_not_delay_exit_past_sigkill() {
+    let longest_ms = 400;
+    let without_replay = |text: &str| with_deadline(longest_ms)(text).replace("\"replay\"", "\"other\"");
+    let changes: [&dyn Fn(&str) -> String; 2] = [&with_deadline(longest_ms), &without_replay];
+    for (change, name) in changes.into_iter().zip(["shortened", "dropped"]) {
+        let (cache, parent) = (Cache::new("s-00000001"), Cache::new("s-0000000p"));
+        let mut proxy = Proxy::start(name, &[&cache, &parent], str::to_owned, &[]);
+        let mut clients = [Client::new(&proxy), Client::new(&proxy)];
+        let [old, new] = &mut clients;
+        old.send(&request_within(1, "replay", 6000));
+        let _unanswered = cache.next_line();
+        proxy.rewrite_config(change);
+        proxy.signal("-HUP");
+        proxy.wait_for_log("reloaded: feed ");
+        new.send(&request_within(2, "result", longest_ms));
+        let since = Instant::now();
+        proxy.signal("-TERM");
+        for (client, seqid) in clients.iter_mut().zip([1, 2]) {
+            assert_eq!(client.reply().0, seqid, "the request is answered, class {name}");
+        }
+        let status = wait_for_exit_before_kill(&mut proxy, since, Duration::from_millis(longest_ms.into()));
+        assert!(status.success());
+    }
+}
+
 /// New requests are accepted for 0.6 s after the signal, whatever the deadlines are.
 #[test]
 fn new_requests_after_sigterm_are_answered_with_short_deadlines() {
