Bound what a connection keeps of requests that arrive byte by byte or are skipped

Cause: the record of when unread bytes arrived takes 16 bytes a read and has no bound; it is not counted as held and lives as long as the message is unfinished. Change: 64 arrivals are told apart on a connection; later bytes count as arrived with those before them, so no request is taken for younger than it is.

--- a/src/front/thrift/arrivals.rs
+++ b/src/front/thrift/arrivals.rs
@@ -3,6 +3,10 @@
 use crate::interface::Instant;
 use std::collections::VecDeque;
 
+/// Maximum number of arrivals that are told apart on one connection, so that a client which sends byte by byte does not
+/// use up the memory.
+const MAX_ARRIVALS: usize = 64;
+
 /// Unconsumed bytes that arrived together.
 struct Arrival {
     bytes: usize,
@@ -15,10 +19,11 @@
 pub(super) struct Arrivals(VecDeque<Arrival>);
 
 impl Arrivals {
-    /// Adds bytes that arrived at an instant.
+    /// Adds bytes that arrived at an instant. Beyond [`MAX_ARRIVALS`], they count as arrived with the ones before them.
     pub(super) fn add(&mut self, bytes: usize, at: Instant) {
+        let is_full = self.0.len() >= MAX_ARRIVALS;
         match self.0.back_mut() {
-            Some(last) if last.at == at => last.bytes += bytes,
+            Some(last) if last.at == at || is_full => last.bytes += bytes,
             _ if bytes > 0 => self.0.push_back(Arrival { bytes, at }),
             _ => {}
         }
@@ -47,3 +52,6 @@
         self.0.clear();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/front/thrift/skipping.rs
+++ b/src/front/thrift/skipping.rs
@@ -8,8 +8,13 @@
 use crate::interface::Instant;
 use crate::net::{ConnectionKey, Net, Reason};
 use bytes::BytesMut;
+use std::collections::BTreeMap;
 use tracing::warn;
 
+/// Maximum number of fields of a skipped request that are kept. Usual requests have fewer.
+const MAX_KEPT_FIELDS: usize = 16;
+/// Maximum total length of the texts of a skipped call that are kept, in bytes.
+const MAX_KEPT_BYTES: usize = 512;
 /// The text of the exception that answers a skipped call other than a request.
 const NO_MEMORY: &str = "no memory for this message";
 
@@ -113,9 +118,21 @@
         return Ok(None);
     }
     let start = input.split().freeze().slice(LENGTH_BYTES..);
-    let call = codec::decode_call_start(start).map_err(|error| {
+    let mut call = codec::decode_call_start(start).map_err(|error| {
         warn!("cannot decode the start of a message: {error}");
         Reason::BadMessage
     })?;
+    if call.name.len() > MAX_KEPT_BYTES {
+        return Err(Reason::BadMessage);
+    }
+    if let Some(fields) = call.fields.as_mut().filter(|fields| !is_short(fields)) {
+        fields.clear();
+    }
     Ok(Some(SkippedMessage { call, missing_bytes }))
 }
+
+/// Whether fields are kept while their message is skipped.
+fn is_short(fields: &BTreeMap<String, String>) -> bool {
+    let text_bytes: usize = fields.iter().map(|(name, value)| name.len() + value.len()).sum();
+    fields.len() <= MAX_KEPT_FIELDS && text_bytes <= MAX_KEPT_BYTES
+}
--- a/src/front/thrift/tests.rs
+++ b/src/front/thrift/tests.rs
@@ -609,3 +609,31 @@
     fixture.pass_time(at(2 * LINGER_TIMEOUT + 3 * CHECK_INTERVAL));
     assert!(!fixture.front.owns(conn));
 }
+
+/// Guards against skipped messages that keep more memory than they gave back, in the many short fields of their start.
+#[test]
+fn skipped_message_keeps_no_long_fields() {
+    let mut fixture = Fixture::new();
+    let limits = BufferLimits { thrift_input_bytes: MIN_INPUT_BYTES, ..BufferLimits::default() };
+    fixture.net.set_limits(limits);
+    let field = |number: u8| [&[0, 0, 0, 3][..], &format!("{number:03}").into_bytes(), &[0; 4]].concat();
+    let fields: Vec<u8> = (0..150).flat_map(field).collect();
+    let head = b"\x80\x01\0\x01\0\0\0\x06invoke\0\0\0\x01\x0d\0\x01\x0b\x0b\0\0\0\x96";
+    let body = [b"\x0b\0\x02\0\0\x75\x30", &[7; 30_000][..], b"\0"].concat();
+    let message = [&head[..], &fields, &body].concat();
+    fixture
+        .client
+        .write_all(&[&(message.len() as u32).to_be_bytes()[..], &message].concat())
+        .expect("written");
+    let conn = fixture.conn;
+    fixture.read_until(Instant::ZERO, conn, MIN_INPUT_BYTES);
+    let now = at(MESSAGE_TIMEOUT);
+    let mut events = fixture.pass_time_with_events(now);
+    while events.is_empty() {
+        events = fixture.front.on_ready(now, conn, false, &mut fixture.net, &mut fixture.deadlines);
+    }
+    assert!(
+        matches!(&events[..], [ThriftEvent::RequestOverLimit { fields, .. }] if fields.is_empty()),
+        "{events:?}"
+    );
+}
