Do not forward a write again under its trace id after its client has left

Cause: an id is refused only while its request is open, and a request ends for the edge proxy when its client leaves, while it may still run at the server.

Requests that were never forwarded may come again. Clients of the platform use a new id for each try.

Open: the processes of an upgrade do not tell each other these ids, since an older version would take a new kind of message for the end of its peer.

--- a/src/server/commands.rs
+++ b/src/server/commands.rs
@@ -51,7 +51,8 @@
             core: &mut self.core,
             servers: &self.endpoints.names,
             pending: &self.pending,
-            settings: &self.config.settings.program,
+            used_trace_ids: &mut self.used_trace_ids,
+            settings: &self.config.settings,
         };
         self.upstream.dispatch(self.now, &mut self.net, &mut self.deadlines, &mut encoder);
     }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -16,7 +16,7 @@
 //!   the other process.
 //!
 //! The server's state is in modules that do not depend on [`Server`]: `active_config`, `budget`, `lifecycle`,
-//! `listeners`, `pending`, `signed_endpoint`, `federation`. `translate` converts protocol messages to types
+//! `listeners`, `pending`, `used_trace_ids`, `signed_endpoint`, `federation`. `translate` converts protocol messages to types
 //! of the core and back; `event_source`, `deadline` and `precedence` are types of the loop; `start` builds
 //! the server; `error` has its errors; `resource_usage` is checked against the limits by the simulator.
 
@@ -55,6 +55,7 @@
 mod translate;
 mod turn_time;
 mod unix_time;
+mod used_trace_ids;
 
 use crate::core::Core;
 use crate::deadlines::Deadlines;
@@ -84,6 +85,7 @@
 use signed_endpoint::SignedEndpoint;
 pub use signed_endpoint::{route_classes, RouteClass};
 use turn_time::ReadSide;
+use used_trace_ids::UsedTraceIds;
 
 /// The numbers of the event sources with which the processes of one edge proxy watch each other. The
 /// simulator wakes these sources when a process ends.
@@ -112,6 +114,7 @@
     handover: Handover,
     phase: Phase,
     pending: PendingRequests,
+    used_trace_ids: UsedTraceIds,
     listeners: Listeners,
     accept_timer: AcceptTimer,
     admission: AdmissionControl,
--- a/src/server/start.rs
+++ b/src/server/start.rs
@@ -13,6 +13,7 @@
 use super::pending::PendingRequests;
 use super::reload::ReloadCounters;
 use super::signed_endpoint::SignedEndpoint;
+use super::used_trace_ids::UsedTraceIds;
 use super::{Server, ServerError};
 use crate::admission::AdmissionSettings;
 use crate::config::signed::SignedConfig;
@@ -130,6 +131,7 @@
             handover,
             phase: Phase::Accepting,
             pending: PendingRequests::default(),
+            used_trace_ids: UsedTraceIds::default(),
             listeners,
             accept_timer: AcceptTimer::default(),
             admission: AdmissionControl::new(admission),
--- a/src/server/thrift_requests.rs
+++ b/src/server/thrift_requests.rs
@@ -83,7 +83,7 @@
         if body.len() > MAX_BODY_BYTES {
             return Err(InvalidRequest::BodyTooLong);
         }
-        if self.pending.has_trace_id(&request.trace_id) {
+        if self.pending.has_trace_id(&request.trace_id) || self.used_trace_ids.contains(&request.trace_id) {
             return Err(InvalidRequest::TraceIdInUse);
         }
         Ok(request)
--- a/src/server/translate/request_fields.rs
+++ b/src/server/translate/request_fields.rs
@@ -48,7 +48,7 @@
     /// The body exceeds the maximum length of a request's body.
     #[error("the body is too long")]
     BodyTooLong,
-    /// An open request has the same trace id.
+    /// An open request has the same trace id, or one that must not run twice was forwarded under it.
     #[error("trace is another's")]
     TraceIdInUse,
 }
--- a/tests/sockets/thrift_front.rs
+++ b/tests/sockets/thrift_front.rs
@@ -741,3 +741,38 @@
     assert_eq!(slow.reply(), (1, served(&body)));
     assert_eq!(slow.reply(), (2, served(b"ran")));
 }
+
+/// Returns the next line of a cache that is not a cancellation.
+fn next_fetch(cache: &Cache) -> ReceivedLine {
+    let mut line = cache.next_line();
+    while line.words[0] == "abort" {
+        line = cache.next_line();
+    }
+    line
+}
+
+/// Guards against a write that runs twice, since its client has left or cancelled it and sends it again under its trace ID
+/// while the first one may still run.
+#[test]
+fn write_is_not_forwarded_again_under_its_trace_id() {
+    let (cache, _parent, proxy) = start_with_one_cache("write-again");
+    let mut first = Client::new(&proxy);
+    first.send(&request(1, "result"));
+    let written = cache.next_line();
+    drop(first);
+    proxy.wait_for_log("end=peer-closed");
+    let mut again = Client::new(&proxy);
+    again.send(&request(1, "result"));
+    assert_eq!(again.reply(), (1, Reply::Exception));
+    again.send(&request(2, "result"));
+    assert_eq!(next_fetch(&cache).words[1], trace(2), "the first write was forwarded once");
+    again.send(&cancel(3, 2));
+    again.send(&request(2, "result"));
+    assert_eq!(again.reply(), (2, Reply::Exception));
+    again.send(&request(4, "result"));
+    let mut open = next_fetch(&cache);
+    assert_eq!(open.words[1], trace(4));
+    open.answer("200", "ver=a", b"ran");
+    assert_eq!(again.reply(), (4, served(b"ran")));
+    drop(written);
+}
