Ask the system for unsent answers only of connections that are idle otherwise

Cause: read once more, the choice of a connection to evict asked for the unsent bytes of connections with open requests, too, and its filter was hard to read. Behaviour unchanged.

--- a/src/front/delivery.rs
+++ b/src/front/delivery.rs
@@ -1,6 +1,6 @@
-//! The delivery of answers to clients that read slowly. The system may hold written bytes for long after the last one was
-//! written. Until they are sent, the client is using its connection: if it were closed, the client would lose these answers
-//! and the request that it sends next.
+//! The delivery of answers to clients that read slowly. The system may hold written bytes for long after the
+//! last one was written. Until they are sent, the client is using its connection: if it were closed, the client
+//! would lose these answers and the request that it sends next.
 
 use crate::interface::{Instant, Span};
 use crate::net::{ConnectionKey, Net};
@@ -14,8 +14,8 @@
 
 /// The delivery of a connection's answers.
 ///
-/// The system is asked at each [`Delivery::update`], and once more after something was written. It is not asked each time,
-/// since that makes a connection with unsent bytes ready to be written.
+/// The system is asked at each [`Delivery::update`], and once more after something was written. It is not asked
+/// each time, since that makes a connection with unsent bytes ready to be written.
 pub(super) struct Delivery {
     /// Number of bytes that were written up to the last time that the system was asked.
     written_bytes: u64,
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,9 +7,9 @@
 //!   when a newer process takes over).
 //! - `admin`: the admin endpoint for operators.
 //!
-//! Shared by the fronts: `sessions` (a front's connections), `unread` (those that wait to be read again), `delivery` (answers on their way to slow
-//! readers), `lingering` (closing without losing the last answer), `http` (HTTP/1.1 request heads) and `request_handle` (by which a front's caller identifies a
-//! request).
+//! Shared by the fronts: `sessions` (a front's connections), `unread` (those that wait to be read again),
+//! `delivery` (answers on their way to slow readers), `lingering` (closing without losing the last answer),
+//! `http` (HTTP/1.1 request heads) and `request_handle` (by which a front's caller identifies a request).
 
 pub mod admin;
 mod delivery;
--- a/src/front/sessions.rs
+++ b/src/front/sessions.rs
@@ -66,18 +66,13 @@
         self.by_connection.iter_mut().map(|(conn, session)| (*conn, session))
     }
 
-    /// Returns the connection to evict first among those that are idle: no request is open, all bytes are written, and
-    /// its client is not still reading answers, unless it lingers.
+    /// Returns the connection to evict first among those that are idle; `None` if no connection is.
     pub fn eviction_candidate(&mut self, now: Instant, net: &Net) -> Option<ConnectionKey> {
-        let is_idle = |(conn, session): &mut (ConnectionKey, &mut S)| {
-            let (conn, is_lingering) = (*conn, session.is_lingering());
-            let delivery = session.delivery_mut().filter(|_| !is_lingering);
-            let is_reading = delivery.is_some_and(|delivery| delivery.is_pending(now, conn, net));
-            !session.has_open_requests() && net.unwritten_bytes(conn) == 0 && !is_reading
-        };
-        first_to_evict(
-            self.iter_mut().filter_map(|mut entry| is_idle(&mut entry).then_some((entry.0, &*entry.1))),
-        )
+        let idle = self.iter_mut().filter_map(|(conn, session)| {
+            let is_idle = is_idle(now, conn, session, net);
+            is_idle.then_some((conn, &*session))
+        });
+        first_to_evict(idle)
     }
 
     /// Returns the connection to evict first, whether idle or not.
@@ -114,6 +109,18 @@
     }
 }
 
+/// Whether no request is open, all bytes are written, and the client is not still reading answers. A lingering connection
+/// is idle even if its client is.
+fn is_idle<S: Session>(now: Instant, conn: ConnectionKey, session: &mut S, net: &Net) -> bool {
+    if session.has_open_requests() || net.unwritten_bytes(conn) > 0 {
+        return false;
+    }
+    if session.is_lingering() {
+        return true;
+    }
+    !session.delivery_mut().is_some_and(|delivery| delivery.is_pending(now, conn, net))
+}
+
 /// Returns the connection to evict first. Lingering connections come first, then those that never sent a
 /// message, then the others; within each group, the one unused for longest comes first.
 fn first_to_evict<'a, S: Session + 'a>(
--- a/src/front/signed/closing.rs
+++ b/src/front/signed/closing.rs
@@ -82,7 +82,8 @@
         }
     }
 
-    /// Shuts down the write side of a connection that is to close, if its last answer is sent. The connection then waits for the client to close it, for at most `LINGER_TIMEOUT`.
+    /// Shuts down the write side of a connection that is to close, if its last answer is sent. The connection
+    /// then waits for the client to close it, for at most `LINGER_TIMEOUT`.
     pub fn linger_if_answered(
         &mut self,
         now: Instant,
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -57,7 +57,8 @@
         /// When the first byte arrived. The request may have waited unread since then.
         arrived: Instant,
     },
-    /// A request beyond [`MAX_OPEN_REQUESTS`], or one for which there was no memory. It is not open; [`ThriftFront::answer_untracked`] answers it.
+    /// A request beyond [`MAX_OPEN_REQUESTS`], or one for which there was no memory. It is not open;
+    /// [`ThriftFront::answer_untracked`] answers it.
     RequestOverLimit {
         /// The client's connection.
         conn: ConnectionKey,
