Shut lingering connections down at once, and let them wait for slow readers

Whether the client is still reading them is asked just before, and then the connection lingers until it closes, or until a client at 32 KiB a second has read all.

--- a/src/front/delivery.rs
+++ b/src/front/delivery.rs
@@ -51,7 +51,12 @@
         if net.written_bytes(conn) > self.written_bytes {
             self.update(now, conn, net);
         }
-        self.is_unsent
+        self.pending_until().is_some_and(|until| now < until)
+    }
+
+    /// Returns when the slowest client has read all answers, if the client was still reading them at the last update.
+    pub fn pending_until(&self) -> Option<Instant> {
+        self.is_unsent.then_some(self.read_by)
     }
 }
 
--- a/src/front/signed/closing.rs
+++ b/src/front/signed/closing.rs
@@ -2,7 +2,7 @@
 
 use super::http::HttpAnswer;
 use super::session::{PipelinedRequest, RequestState};
-use super::{SessionDeadline, SignedFront, DELIVERY_CHECK_INTERVAL, LINGER_TIMEOUT};
+use super::{SessionDeadline, SignedFront, LINGER_TIMEOUT};
 use crate::deadlines::Schedule;
 use crate::front::lingering;
 use crate::interface::Instant;
@@ -44,9 +44,6 @@
         if session.is_lingering {
             return self.close(now, conn, Reason::Done, net, deadlines);
         }
-        if session.ends_after_answers && session.requests.is_empty() {
-            return session.delivery.update(now, conn, net);
-        }
         if session.received_requests == 0 && net.input(conn, |input| input.is_empty()).unwrap_or(true) {
             return self.close(now, conn, Reason::HeadTimeout, net, deadlines);
         }
@@ -68,7 +65,10 @@
         let written_bytes = net.written_bytes(conn);
         let has_unwritten = net.unwritten_bytes(conn) > 0;
         let is_stalled = has_unwritten && written_bytes == session.written_bytes;
-        session.delivery.update(now, conn, net);
+        // Once the write side is shut down, the system does not tell any more whether all answers are sent.
+        if !session.is_lingering {
+            session.delivery.update(now, conn, net);
+        }
         if has_unwritten || session.delivery.is_pending(now, conn, net) {
             session.last_active = now;
         }
@@ -82,8 +82,9 @@
         }
     }
 
-    /// Shuts down the write side of a connection that is to close, if its last answer is sent. The connection
-    /// then waits for the client to close it, for at most `LINGER_TIMEOUT`.
+    /// Shuts down the write side of a connection that is to close, if its last answer is written. The
+    /// connection then waits for the client to close it, for at most `LINGER_TIMEOUT` or as long as the client
+    /// may read its answers.
     pub fn linger_if_answered(
         &mut self,
         now: Instant,
@@ -96,14 +97,11 @@
         if !is_answered || session.is_lingering {
             return;
         }
-        if session.delivery.is_pending(now, conn, net) {
-            let at = now + DELIVERY_CHECK_INTERVAL;
-            let check = || deadlines.add(at, SessionDeadline::ClientTimeout(conn));
-            session.client_timeout.get_or_insert_with(check);
-        } else if lingering::shut_down_if_flushed(conn, net) {
+        session.delivery.update(now, conn, net);
+        if lingering::shut_down_if_flushed(conn, net) {
             session.is_lingering = true;
             session.clear_client_timeout(deadlines);
-            let at = now + LINGER_TIMEOUT;
+            let at = (now + LINGER_TIMEOUT).max(session.delivery.pending_until().unwrap_or(now));
             session.client_timeout = Some(deadlines.add(at, SessionDeadline::ClientTimeout(conn)));
         }
     }
--- a/src/front/signed/mod.rs
+++ b/src/front/signed/mod.rs
@@ -35,9 +35,8 @@
 const MAX_OPEN_REQUESTS: usize = 16;
 /// A connection is closed if its client takes no byte of its answers for this long.
 const WRITE_STALL_TIMEOUT: Span = Span::from_secs(10);
-/// Interval between checks of whether the client of a connection that is to close has been sent its answers.
-const DELIVERY_CHECK_INTERVAL: Span = Span::from_secs(1);
-/// A connection is closed this long after its write side was shut down, even if the client has not closed it.
+/// A connection is closed this long after its write side was shut down, even if the client has not closed it, unless the
+/// client is still reading answers.
 const LINGER_TIMEOUT: Span = Span::from_secs(2);
 
 /// A deadline of a connection.
@@ -46,7 +45,7 @@
     /// The next check of whether the connection is stalled or idle.
     Check(ConnectionKey),
     /// The time by which the client must have completed a head, or, while the connection lingers, must have
-    /// closed. Before it lingers, the next check of whether its answers are sent.
+    /// closed.
     ClientTimeout(ConnectionKey),
 }
 
--- a/src/front/thrift/closing.rs
+++ b/src/front/thrift/closing.rs
@@ -45,7 +45,7 @@
     }
 
     /// Continues with a lingering connection: discards its input, shuts down the write side once all answers
-    /// are sent, and closes the connection once the client has closed.
+    /// are written, and closes the connection once the client has closed.
     pub(super) fn continue_lingering(
         &mut self,
         now: Instant,
@@ -55,8 +55,8 @@
     ) -> Vec<ThriftEvent> {
         let has_ended = lingering::flush_and_drop_input(conn, net);
         let Some(session) = self.sessions.get_mut(conn) else { return Vec::new() };
-        // Once the write side is shut down, the system does not tell any more whether all answers are sent.
-        if !session.is_shut_down && !session.delivery.is_pending(now, conn, net) {
+        if !session.is_shut_down {
+            session.delivery.update(now, conn, net);
             session.is_shut_down = lingering::shut_down_if_flushed(conn, net);
         }
         match has_ended {
--- a/src/front/thrift/limits.rs
+++ b/src/front/thrift/limits.rs
@@ -33,7 +33,8 @@
 /// A connection without open requests is closed after this time, counted from when its client has been sent all
 /// answers. Clients close idle connections after 4 s.
 pub(super) const IDLE_TIMEOUT: Span = Span::from_secs(6);
-/// A lingering connection is closed this long after its answers were sent, even if the client has not closed it.
+/// A lingering connection is closed after this time, even if the client has not closed it, unless the client is still
+/// reading answers.
 pub(super) const LINGER_TIMEOUT: Span = Span::from_secs(1);
 /// A connection that never sent a message counts as idle after this time: a first request arrives sooner.
 pub(super) const FIRST_REQUEST_GRACE: Span = Span::from_millis(200);
--- a/src/front/thrift/timeouts.rs
+++ b/src/front/thrift/timeouts.rs
@@ -33,9 +33,6 @@
         deadlines: &mut dyn Schedule<SessionDeadline>,
     ) -> Vec<ThriftEvent> {
         self.begin_check(now, conn, net, deadlines);
-        if self.sessions.get(conn).is_some_and(|session| session.lingering_since.is_some()) {
-            self.continue_lingering(now, conn, net, deadlines);
-        }
         let mut events = Vec::new();
         if let Some(Timeout::Message | Timeout::Idle) = self.passed_timeout(now, conn, net) {
             // What has just arrived is still read, and may keep the connection open.
@@ -68,11 +65,13 @@
             session.written_bytes = written_bytes;
             session.last_write_progress = now;
         }
-        session.delivery.update(now, conn, net);
+        // Once the write side is shut down, the system does not tell any more whether all answers are sent.
+        if !session.is_shut_down {
+            session.delivery.update(now, conn, net);
+        }
         let is_reading = session.delivery.is_pending(now, conn, net);
         if is_reading {
             session.last_active = now;
-            session.lingering_since = session.lingering_since.map(|_| now);
         }
         if !is_quiet || is_reading {
             // A client may read its answers before it sends the rest of a message that it has begun, so the
@@ -92,7 +91,8 @@
     fn passed_timeout(&self, now: Instant, conn: ConnectionKey, net: &Net) -> Option<Timeout> {
         let session = self.sessions.get(conn)?;
         let is_over = |since: Option<Instant>, limit: Span| since.is_some_and(|since| since + limit <= now);
-        if is_over(session.lingering_since, LINGER_TIMEOUT) {
+        let is_reading = session.delivery.pending_until().is_some_and(|until| now < until);
+        if is_over(session.lingering_since, LINGER_TIMEOUT) && !is_reading {
             return Some(Timeout::Linger);
         }
         if session.last_write_progress + WRITE_STALL_TIMEOUT <= now {
