Test that a lingering connection is shut down at once while its client reads

Change: `connection_lingers_while_its_client_reads_answers` also checks that the write side is shut down as soon as all answers are written.

--- a/src/front/thrift/tests.rs
+++ b/src/front/thrift/tests.rs
@@ -603,6 +603,7 @@
     let (conn, now) = (fixture.conn, Instant::ZERO);
     fixture.answer_with_long_body(now, conn, 1);
     fixture.front.close_gracefully(now, conn, Reason::Stopping, &mut fixture.net, &mut fixture.deadlines);
+    assert!(fixture.session().is_shut_down, "a client that has read its answers sees the end at once");
     fixture.pass_time(at(LINGER_TIMEOUT + CHECK_INTERVAL));
     assert!(fixture.front.owns(conn));
     fixture.pass_time(at(4 * IDLE_TIMEOUT));
