Ask for unsent answers once, as a connection is shut down, and check duplicates in one place

Cause: read once more, both fronts asked the system at each event of a connection that is closing, before its answers were written, where one question just before the shutdown does. The check of a sequence number that is open already stood twice; skipping a message counted bytes where all of the input goes. Change: `lingering::shut_down_and_note_delivery` serves both fronts, `Session::check_unique` both readers, `Delivery::was_pending` both checks of time, and the arrivals of a skipped message are cleared. Behaviour unchanged.

--- a/src/front/delivery.rs
+++ b/src/front/delivery.rs
@@ -51,6 +51,11 @@
         if net.written_bytes(conn) > self.written_bytes {
             self.update(now, conn, net);
         }
+        self.was_pending(now)
+    }
+
+    /// Whether the client is still reading answers, as of the last update.
+    pub fn was_pending(&self, now: Instant) -> bool {
         self.pending_until().is_some_and(|until| now < until)
     }
 
--- a/src/front/signed/closing.rs
+++ b/src/front/signed/closing.rs
@@ -97,8 +97,7 @@
         if !is_answered || session.is_lingering {
             return;
         }
-        session.delivery.update(now, conn, net);
-        if lingering::shut_down_if_flushed(conn, net) {
+        if lingering::shut_down_and_note_delivery(now, conn, &mut session.delivery, net) {
             session.is_lingering = true;
             session.clear_client_timeout(deadlines);
             let at = (now + LINGER_TIMEOUT).max(session.delivery.pending_until().unwrap_or(now));
--- a/src/front/thrift/closing.rs
+++ b/src/front/thrift/closing.rs
@@ -56,8 +56,8 @@
         let has_ended = lingering::flush_and_drop_input(conn, net);
         let Some(session) = self.sessions.get_mut(conn) else { return Vec::new() };
         if !session.is_shut_down {
-            session.delivery.update(now, conn, net);
-            session.is_shut_down = lingering::shut_down_if_flushed(conn, net);
+            session.is_shut_down =
+                lingering::shut_down_and_note_delivery(now, conn, &mut session.delivery, net);
         }
         match has_ended {
             Ok(false) => Vec::new(),
--- a/src/front/thrift/reading.rs
+++ b/src/front/thrift/reading.rs
@@ -221,13 +221,10 @@
         })?;
         let seqid = call.seqid;
         let exception = |kind, text| ThriftReply::Exception { name: call.name, kind, text };
+        if matches!(call.method, Method::Invoke { .. } | Method::Malformed(_)) {
+            session.check_unique(conn, seqid, events)?;
+        }
         match call.method {
-            // The client could not tell two answers with one sequence number apart, so neither request is
-            // answered.
-            Method::Invoke { .. } | Method::Malformed(_) if session.open_requests.contains_key(&seqid) => {
-                session.cancel(conn, seqid, events);
-                return Err(Reason::DuplicateSeqid);
-            }
             Method::Invoke { fields, .. } if session.open_requests.len() >= MAX_OPEN_REQUESTS => {
                 events.push(ThriftEvent::RequestOverLimit { conn, seqid, fields });
             }
--- a/src/front/thrift/session.rs
+++ b/src/front/thrift/session.rs
@@ -149,6 +149,25 @@
         unread.push(conn);
     }
 
+    /// Cancels the open request that has a sequence number, if a further one comes under it: the client could not tell
+    /// their answers apart, so neither is answered.
+    ///
+    /// # Errors
+    ///
+    /// There is such a request.
+    pub(super) fn check_unique(
+        &mut self,
+        conn: ConnectionKey,
+        seqid: SequenceId,
+        events: &mut Vec<ThriftEvent>,
+    ) -> Result<(), Reason> {
+        if !self.open_requests.contains_key(&seqid) {
+            return Ok(());
+        }
+        self.cancel(conn, seqid, events);
+        Err(Reason::DuplicateSeqid)
+    }
+
     /// Cancels an open request. If the request arrived in the same read and has no handle yet, its event is
     /// removed instead, so that the server never sees it.
     pub(super) fn cancel(&mut self, conn: ConnectionKey, seqid: SequenceId, events: &mut Vec<ThriftEvent>) {
--- a/src/front/thrift/skipping.rs
+++ b/src/front/thrift/skipping.rs
@@ -35,13 +35,12 @@
         deadlines: &mut dyn Schedule<SessionDeadline>,
     ) -> Vec<ThriftEvent> {
         let Some(session) = self.sessions.get_mut(conn) else { return Vec::new() };
-        let held_bytes = net.unprocessed_bytes(conn);
         match net.input(conn, take_incomplete_message).unwrap_or(Ok(None)) {
             Ok(None) => return Vec::new(),
             Ok(Some(skipped)) => session.skipped_message = Some(skipped),
             Err(reason) => return self.stop_reading(now, conn, reason, net, deadlines),
         }
-        session.arrivals.take(held_bytes);
+        session.arrivals.clear();
         session.short_of_memory_since = None;
         session.scanned_bytes = 0;
         self.on_ready(now, conn, false, net, deadlines)
@@ -92,10 +91,7 @@
     ) -> Result<(), Reason> {
         let CallStart { seqid, name, fields } = call;
         let Some(session) = self.sessions.get_mut(conn) else { return Ok(()) };
-        if session.open_requests.contains_key(&seqid) {
-            session.cancel(conn, seqid, events);
-            return Err(Reason::DuplicateSeqid);
-        }
+        session.check_unique(conn, seqid, events)?;
         if let Some(fields) = fields {
             events.push(ThriftEvent::RequestOverLimit { conn, seqid, fields });
             return Ok(());
@@ -106,7 +102,7 @@
     }
 }
 
-/// Removes an incomplete message from the start of the input; `None` if the message is complete.
+/// Removes an incomplete message, which is all of the input; `None` if the message is complete.
 ///
 /// # Errors
 ///
--- a/src/front/thrift/timeouts.rs
+++ b/src/front/thrift/timeouts.rs
@@ -91,8 +91,7 @@
     fn passed_timeout(&self, now: Instant, conn: ConnectionKey, net: &Net) -> Option<Timeout> {
         let session = self.sessions.get(conn)?;
         let is_over = |since: Option<Instant>, limit: Span| since.is_some_and(|since| since + limit <= now);
-        let is_reading = session.delivery.pending_until().is_some_and(|until| now < until);
-        if is_over(session.lingering_since, LINGER_TIMEOUT) && !is_reading {
+        if is_over(session.lingering_since, LINGER_TIMEOUT) && !session.delivery.was_pending(now) {
             return Some(Timeout::Linger);
         }
         if session.last_write_progress + WRITE_STALL_TIMEOUT <= now {
